--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: demo up test soak measure slopes lint format rpc clean
+
+$(READY): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps -e .
+	touch $(READY)
+
+demo: $(READY)  ## One session of each user through a whole system.
+	$(BIN)/python -m standins.demo
+
+up: $(READY)  ## The same system, left running for requests by hand.
+	$(BIN)/python -m standins.up
+
+test: $(READY)  ## All tests, with fixed seeds.
+	$(BIN)/python -m test
+
+soak: $(READY)  ## The property-based tests with more examples.
+	AGATEDOCK_EXAMPLES=2000 $(BIN)/python -m test test_props
+
+lint: $(READY)  ## Formatter, linter and type checker.
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: $(READY)
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+rpc: $(READY)  ## Generated code of the calls between routers.
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
+		--grpc_python_out=. agatedock/rpc/peer.proto
+
+clean:
+	rm -rf $(VENV) out build *.egg-info
--- /dev/null
+++ b/agatedock/__init__.py
@@ -0,0 +1,1 @@
+"""Kernel of agatedock: routing, limits, membership and configuration."""
--- /dev/null
+++ b/agatedock/calls.py
@@ -0,0 +1,125 @@
+"""Typed messages of one chat request on its way to an engine."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+import msgspec
+
+
+@dataclasses.dataclass(frozen=True)
+class ChatCall:
+    """A chat request as the entry router passes it to an engine's home.
+
+    Attributes:
+      rank: Index of the rank, 0 most urgent.
+      work_tokens: Estimated work: prompt plus largest answer.
+      weight: Fair share weight of the account.
+      chat: Key that is the same for all turns of a chat.
+      engine: Engine asked for.
+      diverted: True if another engine's home sent the request here.
+      may_divert: Whether a full engine may name another one.
+      excluded: Engines that already turned the request away.
+      offset: Events of the answer that the caller already has.
+      deadline: Monotonic time in seconds on this process at which the
+        rank's target for the first token passes.
+    """
+
+    request_id: str
+    account: str
+    model: str
+    rank: int
+    work_tokens: int
+    weight: float
+    chat: str
+    engine: str
+    diverted: bool
+    may_divert: bool
+    excluded: tuple[str, ...]
+    offset: int
+    deadline: float
+    body: bytes
+
+
+class Outcome(enum.StrEnum):
+    """Ways in which a home turns a request away."""
+
+    DIVERT = "divert"
+    NOT_HOME = "not_home"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclasses.dataclass(frozen=True)
+class Verdict:
+    """Answer of a home that did not run a request.
+
+    Attributes:
+      engine: For DIVERT the engine to try; else the engine asked for.
+      reason: Short text for operators.
+      retry_after_ms: For REFUSED when a repeat makes sense.
+      not_run: False if the engine may have received the request.
+    """
+
+    outcome: Outcome
+    engine: str
+    reason: str
+    retry_after_ms: int = 0
+    not_run: bool = True
+
+
+CALL_HEADER = "X-Agatedock-Call"
+
+
+class _CallHead(msgspec.Struct):
+    """A call without its body; the deadline is relative, in milliseconds."""
+
+    request_id: str
+    account: str
+    model: str
+    rank: int
+    work_tokens: int
+    weight: float
+    chat: str
+    engine: str
+    diverted: bool
+    may_divert: bool
+    excluded: tuple[str, ...]
+    offset: int
+    left_ms: int
+
+
+def encode_head(call: ChatCall, now: float) -> str:
+    """Returns the header that carries a call to a peer."""
+    fields = dataclasses.asdict(call)
+    del fields["body"]
+    deadline = fields.pop("deadline")
+    head = _CallHead(left_ms=int((deadline - now) * 1000), **fields)
+    return msgspec.json.encode(head).decode("latin-1")
+
+
+def decode_call(header: str, body: bytes, now: float) -> ChatCall:
+    """Returns the call that a peer sent.
+
+    Raises:
+      msgspec.MsgspecError: The header does not decode.
+    """
+    head = msgspec.json.decode(header.encode("latin-1"), type=_CallHead)
+    fields = msgspec.structs.asdict(head)
+    left_ms = fields.pop("left_ms")
+    return ChatCall(deadline=now + left_ms / 1000, body=body, **fields)
+
+
+def encode_verdict(verdict: Verdict) -> bytes:
+    """Returns the JSON of a verdict."""
+    return msgspec.json.encode(verdict)
+
+
+def decode_verdict(data: bytes) -> Verdict:
+    """Returns the verdict that a peer sent.
+
+    Raises:
+      msgspec.MsgspecError: The data does not decode.
+    """
+    return msgspec.json.decode(data, type=Verdict)
--- /dev/null
+++ b/agatedock/compose.py
@@ -0,0 +1,476 @@
+"""Composition root: wires the parts of a router and runs them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import logging
+import random
+import time
+
+import aiohttp
+from aiohttp import web
+
+from agatedock import chat
+from agatedock import errors
+from agatedock import explain
+from agatedock import follow
+from agatedock import gossip
+from agatedock import home
+from agatedock import logs
+from agatedock import members
+from agatedock import metrics
+from agatedock import pause
+from agatedock import plain
+from agatedock import platform
+from agatedock import relay
+from agatedock import reports
+from agatedock import retry
+from agatedock import rpcpeer
+from agatedock import servers
+from agatedock import settings
+from agatedock import state
+from agatedock import upstreams
+from agatedock import view
+from agatedock import wire
+
+REFRESH_S = 0.2
+RESTART_PAUSE_S = 1.0
+SYNC_PERIOD_S = 30.0
+SYNC_TRIES = 3
+STOP_LINGER_S = 1.0
+STATE_MAX_AGE_S = 10.0
+CONNECTIONS_MAX = 0
+
+_log = logging.getLogger(__name__)
+
+
+def open_key_value(config: settings.Platform) -> platform.KeyValue:
+    """Returns the client of the key-value service that settings name."""
+    return platform.key_values.get(config.key_value)(config.key_value_url)
+
+
+def make_single_use_client() -> aiohttp.ClientSession:
+    """Returns a client that sends each request once, on its own connection.
+
+    A fresh connection keeps a stale one from making an outcome unknown.
+    """
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(force_close=True, limit=CONNECTIONS_MAX),
+        auto_decompress=False,
+    )
+    # aiohttp sends PUT and DELETE again if the connection closes before an
+    # answer; it offers no public switch for that.
+    session._retry_connection = False  # noqa: SLF001
+    return session
+
+
+@dataclasses.dataclass(frozen=True)
+class Ports:
+    """Ports that a running router listens on."""
+
+    caller: int
+    peer: int
+    rpc: int
+    gossip: int
+
+
+class Router:
+    """One router process."""
+
+    def __init__(self, config: settings.Settings):
+        now = time.monotonic()
+        self._config = config
+        self._seed = random.SystemRandom().getrandbits(32)
+        self._random = random.Random(self._seed)
+        self._pause = pause.Watch(now)
+        self._view = view.View()
+        self._upstreams = upstreams.View()
+        self._records = explain.Records()
+        self._metrics = metrics.Metrics()
+        self._kv = open_key_value(config.platform)
+        self._vms = platform.vm_lists.get(config.platform.vm_list)(
+            config.platform.vm_list_url
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._runners: list[web.AppRunner] = []
+        self.ports = Ports(0, 0, 0, 0)
+
+    async def start(self) -> None:
+        """Binds all ports, joins the fleet and starts all tasks.
+
+        Raises:
+          errors.UserError: A port cannot be bound.
+        """
+        now = time.monotonic()
+        self._make_parts(now)
+        await self._bind(now)
+        self._gossip.take_own(self._table.own)
+        await self._join()
+        self._start_tasks()
+        logs.event(_log, "router_started", **dataclasses.asdict(self.ports))
+
+    def _make_parts(self, now: float) -> None:
+        config = self._config
+        self._client = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=CONNECTIONS_MAX),
+            auto_decompress=False,
+        )
+        self._single_use_client = make_single_use_client()
+        own = wire.MemberItem(
+            name=config.name,
+            incarnation=time.time_ns() // 1_000_000,
+            status=wire.Status.ALIVE,
+            host=config.listen.host,
+            gossip_port=0,
+            peer_port=0,
+            rpc_port=0,
+            failure_domain=config.failure_domain,
+        )
+        self._table = members.Table(
+            own,
+            config.gossip.suspicion_ms / 1000,
+            config.gossip.forget_dead_ms / 1000,
+            now,
+        )
+        self._home = home.Home(
+            config,
+            self._table,
+            self._view,
+            self._upstreams,
+            self._records,
+            self._client,
+            self._pause.is_paused,
+            self._note_leaving,
+        )
+        self._gossip = gossip.Gossip(
+            self._table,
+            config.gossip,
+            self,
+            self._home.describe_own,
+            self._seed,
+        )
+        self._follower = follow.Follower(
+            config.platform,
+            self._view,
+            self._kv,
+            self._gossip,
+            self._refresh,
+            self._seed,
+        )
+        self._make_routes()
+
+    def _make_routes(self) -> None:
+        config = self._config
+        budget = retry.Budget()
+        peers = relay.Peers(config.name, self._client, config.limits)
+        chats = chat.ChatRoute(
+            self._view,
+            self._home,
+            peers,
+            self._records,
+            budget,
+            self._shed_share,
+            self._seed,
+        )
+        self._plains = plain.PlainRoute(
+            config,
+            self._view,
+            self._upstreams,
+            self._kv,
+            self._records,
+            budget,
+            self._client,
+            self._single_use_client,
+            self._note_leaving,
+            self._seed,
+        )
+        self._callers = servers.CallerServer(
+            config.limits, self._view, chats, self._plains, self._metrics
+        )
+        self._peer_server = servers.PeerServer(
+            self._home,
+            self._view,
+            self._records,
+            self._metrics,
+            self._follower.take,
+            self.dump,
+        )
+
+    async def _bind(self, now: float) -> None:
+        listen = self._config.listen
+        caller = await self._serve(self._callers.make_app(), listen.caller_port)
+        # A peer's request holds a caller's body and a little more.
+        body_max = 2 * self._config.limits.body_max_bytes
+        peer = await self._serve(
+            self._peer_server.make_app(body_max), listen.peer_port
+        )
+        service = rpcpeer.Service(self._gossip, self._view, self._home)
+        self._rpc, rpc = await rpcpeer.start_server(
+            service, f"{listen.host}:{listen.rpc_port}"
+        )
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self._gossip, local_addr=(listen.host, listen.gossip_port)
+        )
+        self._datagrams = transport
+        gossip_port = transport.get_extra_info("sockname")[1]
+        self.ports = Ports(caller, peer, rpc, gossip_port)
+        self._table.set_ports(gossip_port, peer, rpc, now)
+
+    async def _serve(self, app: web.Application, port: int) -> int:
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=self._config.limits.drain_timeout_ms / 1000,
+        )
+        await runner.setup()
+        host = self._config.listen.host
+        try:
+            await web.TCPSite(runner, host, port).start()
+        except OSError as error:
+            raise errors.UserError(
+                f"cannot bind {host}:{port}: {error.strerror}"
+            ) from None
+        self._runners.append(runner)
+        return runner.addresses[0][1]
+
+    async def _join(self) -> None:
+        """Learns members and configuration from peers, if any answer."""
+        await self._read_vms()
+        peers = self._table.list_peers()
+        self._random.shuffle(peers)
+        for peer in peers[:SYNC_TRIES]:
+            if await self._sync_with(peer):
+                break
+
+    async def _sync_with(self, peer: members.Member) -> bool:
+        try:
+            items = await rpcpeer.sync(peer.item, self._table.own, self._table)
+        except errors.Unavailable as error:
+            logs.event(_log, "sync_failed", peer=peer.name, problem=str(error))
+            return False
+        now = time.monotonic()
+        for item in items:
+            self._gossip.take(item, now)
+            newer = getattr(item, "revision", 0) > self._view.revision
+            if newer and isinstance(item, wire.StateItem):
+                self._follower.hear_revision(item.name, item.revision, 0)
+        return True
+
+    def _start_tasks(self) -> None:
+        reader = reports.Reader(
+            self._config.home, self._home, self._upstreams, self._client
+        )
+        for name, run in (
+            ("gossip", self._gossip.run),
+            ("config_watch", self._follower.run_watch),
+            ("config_poll", self._follower.run_poll),
+            ("vm_list", self._poll_vms),
+            ("load_reports", reader.run),
+            ("shedding", self._home.run_shedding),
+            ("homes", self._run_refresh),
+            ("sync", self._run_sync),
+            ("pause", lambda: self._pause.run(self._take_pause)),
+        ):
+            self._tasks.append(asyncio.create_task(_supervise(name, run)))
+
+    # What the parts tell each other.
+
+    def hear_revision(self, sender: str, revision: int, digest: int) -> None:
+        """Passes on a peer's configuration revision."""
+        self._follower.hear_revision(sender, revision, digest)
+
+    def hear_leaving(self, item: wire.LeavingItem) -> bool:
+        """Passes on news of an upstream."""
+        return self._upstreams.take_news(item, time.monotonic())
+
+    def _note_leaving(self, upstream: str, leaving: bool) -> None:
+        item = self._upstreams.note_leaving(
+            upstream, leaving, time.monotonic(), _wall_ms()
+        )
+        if item is not None:
+            self._spread_leaving(item)
+
+    def _spread_leaving(self, item: wire.LeavingItem) -> None:
+        self._gossip.board.post(item)
+        self._gossip.push_now(follow.PUSH_PEERS)
+        logs.event(
+            _log, "upstream_leaving", upstream=item.upstream, back=item.back
+        )
+
+    def _take_pause(self, pause_s: float, now: float) -> None:
+        self._table.slow_down()
+        if pause_s * 1000 > self._config.gossip.suspicion_ms:
+            self._home.distrust(now)
+
+    def _shed_share(self, model: str, rank: int, now: float) -> float:
+        """Returns the share of a rank's requests that homes want refused."""
+        return state.average_shed(
+            self._table.list_up(), model, rank, now, STATE_MAX_AGE_S
+        )
+
+    # Tasks.
+
+    async def _poll_vms(self) -> None:
+        while True:
+            await self._read_vms()
+            pause_s = self._config.platform.vm_list_poll_ms / 1000
+            await asyncio.sleep(pause_s * self._random.uniform(0.8, 1.2))
+
+    async def _read_vms(self) -> None:
+        try:
+            rows = await self._vms.read()
+        except errors.Unavailable as error:
+            logs.event(
+                _log, "vm_list_unavailable", logging.WARNING, problem=str(error)
+            )
+            return
+        now = time.monotonic()
+        if rows is None:
+            return
+        for item in self._upstreams.take_rows(rows, now, _wall_ms()):
+            self._spread_leaving(item)
+        for row in rows:
+            if row.role == "router":
+                self._table.seed(row, now)
+
+    async def _run_refresh(self) -> None:
+        while True:
+            self._refresh()
+            await asyncio.sleep(REFRESH_S)
+
+    def _refresh(self) -> None:
+        """Takes and gives up engines as members change."""
+        for engine, owner in self._home.refresh(time.monotonic()):
+            task = asyncio.create_task(self._hand_over(engine, owner))
+            task.add_done_callback(_read_error)
+
+    async def _hand_over(self, engine: str, owner: members.Member) -> None:
+        closed = self._home.close_gate(engine)
+        if closed is None:
+            return
+        diversions = self._home.list_diversions(engine, rpcpeer.DIVERSIONS_MAX)
+        try:
+            accepted = await rpcpeer.hand_over(
+                owner.item,
+                self._config.name,
+                engine,
+                len(closed.runs),
+                diversions,
+            )
+        except errors.Unavailable as error:
+            # The new home then opens the engine after its quiet time.
+            logs.event(
+                _log, "hand_over_failed", engine=engine, problem=str(error)
+            )
+            return
+        logs.event(
+            _log,
+            "handed_over",
+            engine=engine,
+            peer=owner.name,
+            running=len(closed.runs),
+            accepted=accepted,
+        )
+
+    async def _run_sync(self) -> None:
+        while True:
+            await asyncio.sleep(SYNC_PERIOD_S * self._random.uniform(0.5, 1.5))
+            peers = self._table.list_peers()
+            if peers:
+                await self._sync_with(self._random.choice(peers))
+
+    # The end.
+
+    async def stop(self) -> None:
+        """Leaves the fleet, finishes every request in flight, then ends."""
+        self._callers.stopping = True
+        self._table.set_own(wire.Status.LEAVING, time.monotonic())
+        self._gossip.take_own(self._table.own)
+        self._gossip.push_now(len(self._table.members))
+        logs.event(_log, "router_stopping", requests=self._count_work())
+        until = time.monotonic() + self._config.limits.drain_timeout_ms / 1000
+        await asyncio.sleep(STOP_LINGER_S)
+        left = await self._wait_for_work(until)
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._close()
+        logs.event(_log, "router_stopped", requests_cut=left)
+
+    async def _wait_for_work(self, until: float) -> int:
+        """Waits for requests in flight; returns how many are left."""
+        while time.monotonic() < until:
+            if not self._count_work():
+                return 0
+            await asyncio.sleep(REFRESH_S)
+        return self._count_work()
+
+    def _count_work(self) -> int:
+        return (
+            self._callers.count_work()
+            + self._home.count_work()
+            + self._plains.count_work()
+        )
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._rpc.stop(0.1)
+        self._datagrams.close()
+        await self._client.close()
+        await self._single_use_client.close()
+        await self._kv.close()
+        await self._vms.close()
+
+    def dump(self) -> dict:
+        """Returns the state of this process for operators."""
+        return {
+            "process": {
+                "name": self._config.name,
+                "failure_domain": self._config.failure_domain,
+                "stopping": self._callers.stopping,
+                "ports": dataclasses.asdict(self.ports),
+            },
+            "config": {
+                "revision": self._view.revision,
+                "digest": f"{self._view.digest:016x}",
+                "alarms": [dataclasses.asdict(a) for a in self._view.alarms],
+            },
+            "control": dataclasses.asdict(self._gossip.traffic),
+            "work": {
+                "requests": self._callers.count_work(),
+                "streams": self._home.streams,
+                "diversions": len(self._home.diversions),
+                "prefixes": len(self._home.prefixes),
+            },
+            "members": state.describe_members(self._table, time.monotonic()),
+            "upstreams": state.describe_upstreams(
+                self._upstreams, self._home, time.monotonic()
+            ),
+            "engines": state.describe_gates(self._home, time.monotonic()),
+        }
+
+
+async def _supervise(name: str, run: Callable[[], Awaitable[None]]) -> None:
+    """Runs a task and starts it again if it fails."""
+    while True:
+        try:
+            await run()
+            return
+        except Exception:
+            _log.exception({"event": "task_failed", "task": name})
+            await asyncio.sleep(RESTART_PAUSE_S)
+
+
+def _read_error(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.error({"event": "task_failed"}, exc_info=task.exception())
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/agatedock/fleet.py
@@ -0,0 +1,311 @@
+"""The fleet configuration: one set of defaults and a list of exceptions."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import fnmatch
+from typing import Annotated
+from typing import Any
+
+import pydantic
+import xxhash
+
+from agatedock import errors
+from agatedock import places
+
+RANKS_COUNT = 3
+_Text = Annotated[str, pydantic.StringConstraints(min_length=1)]
+
+
+class _Part(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Defaults(_Part):
+    """Values in force where no exception applies.
+
+    Attributes:
+      load_bound: Most load of an engine, as a multiple of the mean load.
+      load_bound_floor: Load below which the multiple does not bind.
+      engine_slots: Most requests that one engine runs at once.
+      service_slots: Most requests that one router runs on one replica.
+      account_weight: Share of an account beside others of its rank.
+      work_max_tokens: Largest estimated work of one request.
+      retry_ratio: Retries allowed for each first try.
+      claim_ttl_ms: How long the answer to a keyed request is kept.
+      placement: Placement strategy plug-in.
+    """
+
+    load_bound: Annotated[float, pydantic.Field(ge=1.0, le=10.0)] = 1.5
+    load_bound_floor: Annotated[int, pydantic.Field(ge=1)] = 4
+    engine_slots: Annotated[int, pydantic.Field(ge=1)] = 16
+    service_slots: Annotated[int, pydantic.Field(ge=1)] = 64
+    account_weight: Annotated[float, pydantic.Field(gt=0)] = 1.0
+    work_max_tokens: Annotated[int, pydantic.Field(ge=1)] = 200_000
+    retry_ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
+    claim_ttl_ms: Annotated[int, pydantic.Field(ge=1000)] = 86_400_000
+    placement: str = "bounded"
+
+
+class Rank(_Part):
+    """One of the three ranks, the most urgent first.
+
+    Attributes:
+      first_token_ms: Target from acceptance to the first token.
+      worth: Value of one answer in time, relative to the other ranks.
+      floor_share: Share of every engine's slots kept for this rank.
+    """
+
+    name: _Text
+    first_token_ms: Annotated[int, pydantic.Field(gt=0)]
+    worth: Annotated[float, pydantic.Field(gt=0)]
+    floor_share: Annotated[float, pydantic.Field(ge=0, le=1)]
+
+
+class Model(_Part):
+    """A model served by engines."""
+
+    name: _Text
+
+
+class Service(_Part):
+    """A plain service beside the engines.
+
+    Attributes:
+      idempotent: Patterns `METHOD /path*` of calls that may be repeated;
+        everything else is sent at most once.
+    """
+
+    name: _Text
+    idempotent: tuple[str, ...] = ("GET *", "HEAD *")
+
+    def is_idempotent(self, method: str, path: str) -> bool:
+        """Tells whether a call may be repeated."""
+        call = f"{method} {path}"
+        return any(fnmatch.fnmatchcase(call, p) for p in self.idempotent)
+
+
+class Match(_Part):
+    """What an exception applies to; an empty field matches everything."""
+
+    account: str = ""
+    model: str = ""
+    service: str = ""
+
+    def fields(self) -> dict[str, str]:
+        """Returns the fields that restrict the match."""
+        return {k: v for k, v in self.model_dump().items() if v}
+
+
+class Exception_(_Part):  # noqa: N801
+    """A deviation from the defaults, with the reason for it."""
+
+    id: _Text
+    match: Match
+    set: dict[str, Any]
+    reason: Annotated[
+        str, pydantic.StringConstraints(strip_whitespace=True, min_length=1)
+    ]
+    author: _Text
+    expires: datetime.datetime | None = None
+
+    def applies(self, scope: Match, now_ms: int) -> bool:
+        """Tells whether the exception is in force for a scope."""
+        if self.expires and self.expires.timestamp() * 1000 <= now_ms:
+            return False
+        wanted = scope.model_dump()
+        return all(wanted[k] == v for k, v in self.match.fields().items())
+
+
+class Document(_Part):
+    """The whole fleet configuration of one revision.
+
+    Attributes:
+      revision: Number that only grows; 0 before the first edit.
+      accepted_ms: Wall-clock time of acceptance in milliseconds.
+      works: Kinds of work that callers name, each with its rank.
+      accounts: Known client accounts; empty admits every name.
+    """
+
+    revision: Annotated[int, pydantic.Field(ge=0)] = 0
+    author: str = ""
+    reason: str = ""
+    accepted_ms: int = 0
+    defaults: Defaults = Defaults()
+    ranks: tuple[Rank, ...] = (
+        Rank(name="urgent", first_token_ms=2000, worth=100, floor_share=0.5),
+        Rank(name="normal", first_token_ms=5000, worth=10, floor_share=0.2),
+        Rank(name="low", first_token_ms=20000, worth=1, floor_share=0.1),
+    )
+    default_rank: str = "normal"
+    works: dict[str, str] = {}
+    models: tuple[Model, ...] = ()
+    services: tuple[Service, ...] = ()
+    accounts: tuple[str, ...] = ()
+    exceptions: tuple[Exception_, ...] = ()
+
+    def find_model(self, name: str) -> Model | None:
+        """Returns the model of that name."""
+        return next((m for m in self.models if m.name == name), None)
+
+    def find_service(self, name: str) -> Service | None:
+        """Returns the plain service of that name."""
+        return next((s for s in self.services if s.name == name), None)
+
+    def rank_of(self, work: str) -> int:
+        """Returns the index of the rank of a kind of work, 0 most urgent."""
+        name = self.works.get(work, self.default_rank)
+        return next(i for i, r in enumerate(self.ranks) if r.name == name)
+
+
+@dataclasses.dataclass(frozen=True)
+class Resolved:
+    """A setting's value in one scope and the exception it came from."""
+
+    value: Any
+    exception: Exception_ | None
+
+
+def resolve(
+    document: Document, key: str, scope: Match, now_ms: int
+) -> Resolved:
+    """Returns the value of a default in a scope.
+
+    The exception that names most fields wins; among equals the later one.
+    """
+    best: Exception_ | None = None
+    for item in document.exceptions:
+        if key not in item.set or not item.applies(scope, now_ms):
+            continue
+        if best is None or len(item.match.fields()) >= len(best.match.fields()):
+            best = item
+    if best is None:
+        return Resolved(getattr(document.defaults, key), None)
+    return Resolved(best.set[key], best)
+
+
+def encode(document: Document) -> bytes:
+    """Returns the canonical JSON of a document."""
+    return document.model_dump_json().encode()
+
+
+def decode(data: bytes) -> Document:
+    """Parses canonical JSON.
+
+    Raises:
+      pydantic.ValidationError: The data is not a document.
+    """
+    return Document.model_validate_json(data)
+
+
+def digest(document: Document) -> int:
+    """Returns a 64-bit digest of a document."""
+    return xxhash.xxh3_64_intdigest(encode(document))
+
+
+def check(
+    data: dict[str, Any], lines: places.Lines, source: str, now_ms: int
+) -> Document:
+    """Validates an operator's document and reports all findings together.
+
+    Raises:
+      errors.FindingsError: With the place of every finding.
+    """
+    document = places.check(Document, data, lines, source)
+    findings = [
+        errors.Finding(places.locate(path, lines, source), message)
+        for path, message in _find_faults(document, now_ms)
+    ]
+    if findings:
+        raise errors.FindingsError(findings)
+    return document
+
+
+_Fault = tuple[tuple[str | int, ...], str]
+
+
+def _find_faults(document: Document, now_ms: int) -> Iterator[_Fault]:
+    yield from _check_ranks(document)
+    yield from _check_names(document)
+    seen: dict[str, int] = {}
+    for index, item in enumerate(document.exceptions):
+        path = ("exceptions", index)
+        if item.id in seen:
+            yield (*path, "id"), f"id {item.id!r} is used twice"
+        seen[item.id] = index
+        yield from _check_exception(document, item, path, now_ms)
+        yield from _check_shadowed(document, index)
+
+
+def _check_ranks(document: Document) -> Iterator[_Fault]:
+    if len(document.ranks) != RANKS_COUNT:
+        yield ("ranks",), f"exactly {RANKS_COUNT} ranks are needed"
+    total = sum(rank.floor_share for rank in document.ranks)
+    if total > 1:
+        yield ("ranks",), f"floor_share adds up to {total:g}; at most 1"
+    names = {rank.name for rank in document.ranks}
+    if document.default_rank not in names:
+        yield ("default_rank",), f"no rank {document.default_rank!r}"
+    for work, rank in document.works.items():
+        if rank not in names:
+            yield ("works", work), f"no rank {rank!r}"
+
+
+def _check_names(document: Document) -> Iterator[_Fault]:
+    seen: set[str] = set()
+    for kind in ("models", "services"):
+        for index, item in enumerate(getattr(document, kind)):
+            if item.name in seen:
+                yield (kind, index, "name"), f"name {item.name!r} stands twice"
+            seen.add(item.name)
+
+
+def _check_exception(
+    document: Document,
+    item: Exception_,
+    path: tuple[str | int, ...],
+    now_ms: int,
+) -> Iterator[_Fault]:
+    if not item.match.fields():
+        yield (*path, "match"), "matches everything; change the defaults"
+    if not item.set:
+        yield (*path, "set"), "sets nothing"
+    known = {
+        "account": document.accounts,
+        "model": tuple(m.name for m in document.models),
+        "service": tuple(s.name for s in document.services),
+    }
+    for field, value in item.match.fields().items():
+        if known[field] and value not in known[field]:
+            message = f"can never apply: no {field} {value!r}"
+            yield (*path, "match", field), message
+    if item.match.model and item.match.service:
+        message = "can never apply: no request has a model and a service"
+        yield (*path, "match"), message
+    if item.expires and item.expires.timestamp() * 1000 <= now_ms:
+        yield (*path, "expires"), "can never apply: already expired"
+    yield from _check_set(item, path)
+
+
+def _check_set(
+    item: Exception_, path: tuple[str | int, ...]
+) -> Iterator[_Fault]:
+    try:
+        Defaults.model_validate(item.set)
+    except pydantic.ValidationError as error:
+        for fault in error.errors():
+            yield (*path, "set", *fault["loc"]), fault["msg"]
+
+
+def _check_shadowed(document: Document, index: int) -> Iterator[_Fault]:
+    item = document.exceptions[index]
+    for later in document.exceptions[index + 1 :]:
+        if (
+            later.match == item.match
+            and set(item.set) <= set(later.set)
+            and later.expires is None
+        ):
+            message = f"can never apply: {later.id!r} sets the same"
+            yield ("exceptions", index), message
--- /dev/null
+++ b/agatedock/gate.py
@@ -0,0 +1,283 @@
+"""Admission to one engine at its home: bound, slots, ranks and deadlines."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import math
+from typing import Any
+
+from agatedock import calls
+from agatedock import rankqueue
+
+# Weight of the newest sample in moving averages.
+SMOOTHING = 0.2
+# Work rate of an engine before it has finished anything.
+START_TOKENS_PER_S = 400.0
+PREFILL_TOKENS_PER_S = 5000.0
+# How far an engine's load reports may lag.
+REPORT_LAG_S = 1.0
+FAILURES_TO_EJECT = 2
+EJECT_S = 1.0
+EJECT_MAX_S = 30.0
+# Requests without a prefix in the engine's cache leave this share of the
+# bound to chats that return.
+NEW_CHAT_SHARE = 0.9
+SHED_STEP = 0.5
+SHED_DECAY = 0.8
+SHED_REFUSED_SHARE = 0.05
+SHED_MAX = 0.98
+
+
+class Choice(enum.Enum):
+    """What to do with a request at its engine's home."""
+
+    RUN = "run"
+    WAIT = "wait"
+    DIVERT = "divert"
+    REFUSE = "refuse"
+
+
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """A choice with its reason.
+
+    Attributes:
+      wait_s: Expected time in the queue.
+    """
+
+    choice: Choice
+    reason: str
+    wait_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Limits of an engine at one moment.
+
+    Attributes:
+      bound: Most requests that the multiple of the mean load allows.
+      slots: Most requests that the engine runs at once.
+    """
+
+    bound: int
+    slots: int
+
+    @property
+    def top(self) -> int:
+        """Returns the tighter of the two."""
+        return min(self.bound, self.slots)
+
+
+def compute_bound(multiple: float, mean: float, floor: int) -> int:
+    """Returns the most requests on one engine for a mean load."""
+    return max(floor, math.ceil(multiple * mean))
+
+
+@dataclasses.dataclass
+class Run:
+    """A request on the engine.
+
+    Attributes:
+      started: Monotonic time in seconds at which it was sent.
+    """
+
+    call: calls.ChatCall
+    started: float
+
+
+class Gate:
+    """State of one engine at its home; one writer, no locks."""
+
+    def __init__(self, engine: str, floor_shares: tuple[float, ...]):
+        self.engine = engine
+        self.queue = rankqueue.RankQueue(floor_shares)
+        self.runs: dict[str, Run] = {}
+        self.foreign = 0
+        self.open_from = math.inf
+        self.draining = False
+        self.tokens_per_s = START_TOKENS_PER_S
+        self.shed = [0.0] * len(floor_shares)
+        self._offered = [0] * len(floor_shares)
+        self._refused = [0] * len(floor_shares)
+        self._own_peaks: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._sent_at: collections.deque[float] = collections.deque()
+        self._failures = 0
+        self._ejections = 0
+        self._ejected_until = 0.0
+        self._ejected_at = 0.0
+
+    def load(self) -> int:
+        """Returns the requests on the engine, those of others included."""
+        return len(self.runs) + self.foreign
+
+    def running_by_rank(self) -> list[int]:
+        """Returns this home's requests on the engine by rank."""
+        counts = [0] * len(self.shed)
+        for run in self.runs.values():
+            counts[run.call.rank] += 1
+        return counts
+
+    def is_usable(self, now: float) -> bool:
+        """Tells whether the engine takes requests at all."""
+        return not self.draining and now >= self._ejected_until
+
+    def room(self, limits: Limits, settled: bool, now: float) -> int:
+        """Returns how many requests may be sent now.
+
+        While another router may also send to the engine, the room seen in
+        the last report is shared: this home uses half of it.
+        """
+        room = limits.top - self.load()
+        if settled and not self.foreign:
+            return room
+        while self._sent_at and self._sent_at[0] < now - REPORT_LAG_S:
+            self._sent_at.popleft()
+        recent = len(self._sent_at)
+        return (room + recent) // 2 - recent
+
+    def decide(
+        self,
+        call: calls.ChatCall,
+        limits: Limits,
+        settled: bool,
+        cached_tokens: int,
+        can_divert: bool,
+        now: float,
+    ) -> Decision:
+        """Chooses what to do with a new request.
+
+        Args:
+          call: The request.
+          limits: Limits of the engine now.
+          settled: Whether no other router can take itself for the home.
+          cached_tokens: Prefix that the engine is expected to hold.
+          can_divert: Whether another engine is left to try.
+          now: Monotonic time in seconds.
+        """
+        self._offered[call.rank] += 1
+        if now < self.open_from or not self.is_usable(now):
+            return self._turn_away(call, can_divert, "engine closed", 1.0)
+        room = self.room(limits, settled, now)
+        kept = 0
+        if not cached_tokens and can_divert:
+            kept = limits.top - math.ceil(limits.top * NEW_CHAT_SHARE)
+        if room > kept and not len(self.queue):
+            return Decision(Choice.RUN, "room on the engine")
+        wait_s = self.expect_wait_s(call)
+        saved_s = cached_tokens / PREFILL_TOKENS_PER_S
+        if can_divert and wait_s > saved_s:
+            return Decision(Choice.DIVERT, "another engine is sooner", wait_s)
+        if now + wait_s > call.deadline:
+            return self._turn_away(
+                call, False, "target would be missed", wait_s
+            )
+        return Decision(Choice.WAIT, "queued by rank", wait_s)
+
+    def _turn_away(
+        self,
+        call: calls.ChatCall,
+        can_divert: bool,
+        reason: str,
+        wait_s: float,
+    ) -> Decision:
+        if can_divert:
+            return Decision(Choice.DIVERT, reason, wait_s)
+        self._refused[call.rank] += 1
+        return Decision(Choice.REFUSE, reason, wait_s)
+
+    def expect_wait_s(self, call: calls.ChatCall) -> float:
+        """Estimates the time in seconds until a new request would run."""
+        ahead = self.queue.tokens_ahead(call)
+        # A slot frees after the remaining work of one request on average.
+        running = [run.call.work_tokens for run in self.runs.values()]
+        turn = (
+            sum(running) / len(running) / (len(running) + 1) if running else 0
+        )
+        return (ahead + turn) / self.tokens_per_s
+
+    def enqueue(self, call: calls.ChatCall, ticket: Any) -> rankqueue.Waiting:
+        """Queues a request that was told to wait."""
+        return self.queue.lines[call.rank].add(call, ticket)
+
+    def abandon(self, waiting: rankqueue.Waiting) -> None:
+        """Takes out a request whose caller left or whose time is up."""
+        if waiting in self.queue.lines[waiting.call.rank]:
+            self.queue.lines[waiting.call.rank].remove(waiting)
+            self._refused[waiting.call.rank] += 1
+
+    def start(self, call: calls.ChatCall, now: float) -> None:
+        """Counts a request as sent; must precede the sending."""
+        self.runs[call.request_id] = Run(call, now)
+        self._sent_at.append(now)
+        self._note_own(now)
+
+    def finish(self, request_id: str, actual_tokens: int, now: float) -> None:
+        """Counts a request as ended and learns from its actual work."""
+        run = self.runs.pop(request_id, None)
+        if run is None:
+            return
+        self._note_own(now)
+        self.queue.lines[run.call.rank].charge(run.call, actual_tokens)
+        elapsed_s = max(now - run.started, 0.001)
+        if actual_tokens:
+            # All requests on the engine share its work rate.
+            sample = actual_tokens / elapsed_s * (len(self.runs) + 1)
+            self.tokens_per_s += SMOOTHING * (sample - self.tokens_per_s)
+
+    def pop_ready(
+        self, limits: Limits, settled: bool, now: float
+    ) -> rankqueue.Waiting | None:
+        """Takes the next queued request if there is room for it."""
+        if now < self.open_from or not self.is_usable(now):
+            return None
+        if self.room(limits, settled, now) <= 0:
+            return None
+        return self.queue.pop(self.running_by_rank(), limits.slots)
+
+    def take_report(self, running: int, draining: bool, now: float) -> None:
+        """Takes in the engine's own load report, which may lag."""
+        self.draining = draining
+        while len(self._own_peaks) > 1 and (
+            self._own_peaks[1][0] < now - REPORT_LAG_S
+        ):
+            self._own_peaks.popleft()
+        peak = max((n for _, n in self._own_peaks), default=0)
+        self.foreign = max(0, running - max(peak, len(self.runs)))
+
+    def _note_own(self, now: float) -> None:
+        self._own_peaks.append((now, len(self.runs)))
+        while len(self._own_peaks) > 1 and (
+            self._own_peaks[1][0] < now - 2 * REPORT_LAG_S
+        ):
+            self._own_peaks.popleft()
+
+    def take_result(self, ok: bool, now: float) -> None:
+        """Ejects an engine that keeps failing, longer each time."""
+        if ok:
+            self._failures = 0
+            if now - self._ejected_at > EJECT_MAX_S:
+                self._ejections = 0
+            return
+        self._failures += 1
+        if self._failures >= FAILURES_TO_EJECT:
+            hold_s = min(EJECT_MAX_S, EJECT_S * 2**self._ejections)
+            self._ejections += 1
+            self._failures = 0
+            self._ejected_at = now
+            self._ejected_until = now + hold_s
+
+    def update_shed(self) -> None:
+        """Adjusts the share of each rank to refuse at entry, once a second."""
+        for rank, offered in enumerate(self._offered):
+            refused = self._refused[rank] / offered if offered else 0.0
+            if refused > SHED_REFUSED_SHARE:
+                step = (1 - self.shed[rank]) * refused * SHED_STEP
+                self.shed[rank] = min(SHED_MAX, self.shed[rank] + step)
+            else:
+                self.shed[rank] *= SHED_DECAY
+        self._offered = [0] * len(self.shed)
+        self._refused = [0] * len(self.shed)
--- /dev/null
+++ b/agatedock/gossip.py
@@ -0,0 +1,293 @@
+"""Membership among routers over datagrams that may be lost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import logging
+import random
+import time
+from typing import Protocol
+from typing import cast
+
+import msgspec
+
+from agatedock import board
+from agatedock import logs
+from agatedock import members
+from agatedock import settings
+from agatedock import wire
+
+INDIRECT_PROBES = 3
+CHECK_PERIOD_S = 0.2
+STATE_REFRESH_S = 5.0
+STATE_MIN_GAP_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class Listener(Protocol):
+    """What is told of news from peers."""
+
+    def hear_revision(self, sender: str, revision: int, digest: int) -> None:
+        """Takes the configuration revision in force at a peer."""
+
+    def hear_leaving(self, item: wire.LeavingItem) -> bool:
+        """Takes news of an upstream; returns whether it was new."""
+
+
+@dataclasses.dataclass
+class Traffic:
+    """Control traffic of this process so far."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent_packets: int = 0
+    bad_packets: int = 0
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """Sends and receives datagrams: one task for each peer, one for news."""
+
+    def __init__(
+        self,
+        table: members.Table,
+        config: settings.Gossip,
+        listener: Listener,
+        describe_own: Callable[[], wire.StateItem],
+        seed: int,
+    ):
+        self.table = table
+        self.traffic = Traffic()
+        self.board = board.Board()
+        self.revision = 0
+        self.digest = 0
+        self._config = config
+        self._listener = listener
+        self._describe_own = describe_own
+        self._random = random.Random(seed)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._sequence = 0
+        self._waiting: dict[int, asyncio.Future[None]] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._last_state: wire.StateItem | None = None
+        self._last_state_at = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport; called by the event loop."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        """Takes in one datagram; called by the event loop."""
+        self.traffic.received_bytes += len(data)
+        try:
+            packet, items = wire.decode(data)
+        except wire.BadPacket as error:
+            self.traffic.bad_packets += 1
+            logs.event(_log, "bad_packet", logging.DEBUG, problem=str(error))
+            return
+        for item in items:
+            self.take(item, time.monotonic())
+        self._listener.hear_revision(
+            packet.sender, packet.revision, packet.digest
+        )
+        self._answer(packet, addr)
+
+    def take(self, item: wire.Item, now: float) -> None:
+        """Takes in one item of news and passes it on if it is new."""
+        if isinstance(item, wire.MemberItem):
+            news = self.table.merge(item, now)
+            if news is not None:
+                self._announce(news)
+        elif isinstance(item, wire.StateItem):
+            if self.table.merge_state(item, now):
+                self.board.post(item)
+        elif self._listener.hear_leaving(item):
+            self.board.post(item)
+
+    def take_own(self, item: wire.MemberItem) -> None:
+        """Spreads what this router says of its own condition."""
+        self._announce(item)
+
+    def _announce(self, item: wire.MemberItem) -> None:
+        self.board.post(item)
+        logs.event(
+            _log,
+            "member",
+            peer=item.name,
+            status=item.status.name.lower(),
+            incarnation=item.incarnation,
+        )
+
+    def _answer(self, packet: wire.Packet, addr: tuple) -> None:
+        if packet.kind == wire.Kind.PROBE:
+            self._send(addr, wire.Kind.ACK, packet.sequence)
+        elif packet.kind == wire.Kind.ACK:
+            future = self._waiting.get(packet.sequence)
+            if future is not None and not future.done():
+                future.set_result(None)
+        elif packet.kind == wire.Kind.ASK_PROBE:
+            self._start(
+                f"relay-{packet.sender}-{packet.sequence}",
+                self._probe_for(packet, addr),
+            )
+
+    async def _probe_for(self, packet: wire.Packet, addr: tuple) -> None:
+        """Probes a member for a peer that got no answer from it."""
+        member = self.table.members.get(packet.target)
+        if member is not None and await self._probe(member):
+            self._send(addr, wire.Kind.ACK, packet.sequence)
+
+    def _send(
+        self, addr: tuple, kind: wire.Kind, sequence: int, target: str = ""
+    ) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        picked = self.board.pick(
+            self._config.datagram_max_bytes, len(self.table.members)
+        )
+        packet = wire.Packet(
+            kind,
+            sequence,
+            self.table.own.name,
+            target,
+            self.revision,
+            self.digest,
+            [msgspec.Raw(data) for data in picked],
+        )
+        data = wire.encode(packet)
+        self.traffic.sent_bytes += len(data)
+        self.traffic.sent_packets += 1
+        self._transport.sendto(data, addr)
+
+    async def run(self) -> None:
+        """Keeps membership going until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._watch_peers())
+                group.create_task(self._send_updates())
+        finally:
+            for task in list(self._tasks.values()):
+                task.cancel()
+
+    async def _watch_peers(self) -> None:
+        """Starts a task for each new peer and expires silent ones."""
+        while True:
+            now = time.monotonic()
+            for news in self.table.expire(now):
+                self._announce(news)
+            for peer in self.table.list_peers():
+                if peer.name not in self._tasks:
+                    self._start(peer.name, self._watch_peer(peer.name))
+            await asyncio.sleep(CHECK_PERIOD_S)
+
+    def _start(self, name: str, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks[name] = task
+        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+
+    async def _watch_peer(self, name: str) -> None:
+        """Probes one peer for as long as it counts as alive."""
+        while True:
+            # All peers' tasks together send a fixed number of probes.
+            peers = max(1, len(self.table.list_peers()))
+            mean_s = peers / self._config.probes_per_s
+            await asyncio.sleep(mean_s * self._random.uniform(0.5, 1.5))
+            member = self.table.members.get(name)
+            if member is None or member.status == wire.Status.DEAD:
+                return
+            if await self._check_peer(member):
+                self.table.speed_up()
+                continue
+            news = self.table.suspect(name, time.monotonic())
+            if news is not None:
+                self._announce(news)
+
+    async def _check_peer(self, member: members.Member) -> bool:
+        """Probes a peer twice and then through others; True if it lives."""
+        # A second direct probe separates a lost datagram from a lost peer.
+        if await self._probe(member) or await self._probe(member):
+            return True
+        self.table.slow_down()
+        helpers = [
+            m
+            for m in self.table.list_peers()
+            if m.name != member.name and m.status == wire.Status.ALIVE
+        ]
+        self._random.shuffle(helpers)
+        sequence, future = self._expect()
+        try:
+            for helper in helpers[:INDIRECT_PROBES]:
+                self._send(
+                    _address(helper),
+                    wire.Kind.ASK_PROBE,
+                    sequence,
+                    member.name,
+                )
+            timeout_s = 3 * self._config.probe_timeout_ms / 1000
+            return await self._wait(future, timeout_s)
+        finally:
+            self._waiting.pop(sequence, None)
+
+    async def _probe(self, member: members.Member) -> bool:
+        sequence, future = self._expect()
+        try:
+            self._send(_address(member), wire.Kind.PROBE, sequence)
+            timeout_s = self._config.probe_timeout_ms / 1000
+            return await self._wait(future, timeout_s)
+        finally:
+            self._waiting.pop(sequence, None)
+
+    def _expect(self) -> tuple[int, asyncio.Future[None]]:
+        self._sequence = (self._sequence + 1) & 0xFFFFFFFF
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[self._sequence] = future
+        return self._sequence, future
+
+    async def _wait(
+        self, future: asyncio.Future[None], timeout_s: float
+    ) -> bool:
+        try:
+            await asyncio.wait_for(asyncio.shield(future), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _send_updates(self) -> None:
+        """Sends news to a random peer at a fixed rate."""
+        while True:
+            gap_s = 1 / self._config.updates_per_s
+            await asyncio.sleep(gap_s * self._random.uniform(0.7, 1.3))
+            self._post_state(time.monotonic())
+            peers = self.table.list_peers()
+            if peers and len(self.board):
+                peer = self._random.choice(peers)
+                self._send(_address(peer), wire.Kind.UPDATE, 0)
+
+    def _post_state(self, now: float) -> None:
+        """Puts this router's own state on the board if it is due."""
+        state = self._describe_own()
+        last, age_s = self._last_state, now - self._last_state_at
+        fresh = last is not None and msgspec.structs.replace(
+            state, version=last.version
+        )
+        if fresh == last and age_s < STATE_REFRESH_S:
+            return
+        if age_s < STATE_MIN_GAP_S:
+            return
+        self._last_state, self._last_state_at = state, now
+        own = self.table.members[self.table.own.name]
+        own.state, own.state_at = state, now
+        self.board.post(state)
+
+    def push_now(self, count: int) -> None:
+        """Sends news at once to a few random peers."""
+        peers = self.table.list_peers()
+        self._random.shuffle(peers)
+        for peer in peers[:count]:
+            self._send(_address(peer), wire.Kind.UPDATE, 0)
+
+
+def _address(member: members.Member) -> tuple[str, int]:
+    return member.item.host, member.item.gossip_port
--- /dev/null
+++ b/agatedock/hashing.py
@@ -0,0 +1,24 @@
+"""Rendezvous hashing: few keys move when members come and go."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def score(key: str, name: str) -> int:
+    """Returns the 64-bit weight of a name for a key."""
+    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
+
+
+def choose(key: str, names: Iterable[str]) -> str | None:
+    """Returns the name with the highest weight for a key, None if no name."""
+    return max(names, key=lambda name: (score(key, name), name), default=None)
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Returns all names, the highest weight first."""
+    return sorted(
+        names, key=lambda name: (score(key, name), name), reverse=True
+    )
--- /dev/null
+++ b/agatedock/metrics.py
@@ -0,0 +1,42 @@
+"""Metrics of one process in Prometheus form."""
+
+from __future__ import annotations
+
+from aiohttp import web
+import aioprometheus
+
+_EMPTY: dict[str, str] = {}
+
+
+class Metrics:
+    """Counters and gauges of a router."""
+
+    def __init__(self) -> None:
+        self._registry = aioprometheus.Registry()
+        self.requests = self._counter(
+            "agatedock_requests", "Answered requests by kind and code."
+        )
+        self.first_token_ms = aioprometheus.Summary(
+            "agatedock_first_token_ms",
+            "Milliseconds from acceptance to the first token, by rank.",
+            registry=self._registry,
+        )
+        self.gauges: dict[str, aioprometheus.Gauge] = {}
+
+    def _counter(self, name: str, text: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, text, registry=self._registry)
+
+    def set_gauge(
+        self, name: str, value: float, labels: dict[str, str] | None = None
+    ) -> None:
+        """Sets a gauge, which exists from its first value on."""
+        if name not in self.gauges:
+            self.gauges[name] = aioprometheus.Gauge(
+                name, name.replace("_", " "), registry=self._registry
+            )
+        self.gauges[name].set(labels or _EMPTY, value)
+
+    def render(self, accept: list[str]) -> web.Response:
+        """Returns the answer to a scrape."""
+        body, headers = aioprometheus.render(self._registry, accept)
+        return web.Response(body=body, headers=headers)
--- /dev/null
+++ b/agatedock/places.py
@@ -0,0 +1,130 @@
+"""YAML documents whose validation errors carry file, line and key path."""
+
+from __future__ import annotations
+
+import difflib
+import pathlib
+from typing import Any
+from typing import TypeVar
+
+import pydantic
+import yaml
+
+from agatedock import errors
+
+M = TypeVar("M", bound=pydantic.BaseModel)
+Lines = dict[tuple[str | int, ...], int]
+
+
+def load_text(text: str, source: str) -> tuple[dict[str, Any], Lines]:
+    """Parses YAML and returns its mapping with the line of each key path.
+
+    Raises:
+      errors.FindingsError: The text is not YAML or not a mapping.
+    """
+    try:
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        data = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        line = mark.line + 1 if mark else 1
+        problem = getattr(error, "problem", None) or str(error)
+        raise errors.FindingsError(
+            [errors.Finding(f"{source}:{line}", f"not YAML: {problem}")]
+        ) from error
+    if node is None or data is None:
+        return {}, {}
+    if not isinstance(data, dict):
+        raise errors.FindingsError(
+            [errors.Finding(f"{source}:1", "must be a mapping of keys")]
+        )
+    lines: Lines = {}
+    _collect_lines(node, (), lines)
+    return data, lines
+
+
+def load_file(path: pathlib.Path) -> tuple[dict[str, Any], Lines]:
+    """Reads a YAML file and returns its mapping with the line of each key."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise errors.UserError(
+            f"cannot read {path}: {error.strerror}"
+        ) from None
+    return load_text(text, str(path))
+
+
+def _collect_lines(
+    node: yaml.Node, path: tuple[str | int, ...], lines: Lines
+) -> None:
+    lines[path] = node.start_mark.line + 1
+    if isinstance(node, yaml.MappingNode):
+        for key, value in node.value:
+            _collect_lines(value, (*path, key.value), lines)
+            lines[(*path, key.value)] = key.start_mark.line + 1
+    elif isinstance(node, yaml.SequenceNode):
+        for index, item in enumerate(node.value):
+            _collect_lines(item, (*path, index), lines)
+
+
+def locate(path: tuple[str | int, ...], lines: Lines, source: str) -> str:
+    """Returns `source:line key.path` of the nearest key that stands there."""
+    known = path
+    while known and known not in lines:
+        known = known[:-1]
+    dotted = ".".join(str(part) for part in path) or "(document)"
+    return f"{source}:{lines.get(known, 1)} {dotted}"
+
+
+def check(model: type[M], data: dict[str, Any], lines: Lines, source: str) -> M:
+    """Validates data and reports all findings with their places together.
+
+    Raises:
+      errors.FindingsError: At least one key is wrong.
+    """
+    try:
+        return model.model_validate(data)
+    except pydantic.ValidationError as error:
+        findings = []
+        for item in error.errors():
+            path = item["loc"]
+            message = item["msg"]
+            if item["type"] == "extra_forbidden":
+                message = _describe_unknown(model, path)
+            findings.append(
+                errors.Finding(locate(path, lines, source), message)
+            )
+        raise errors.FindingsError(findings) from None
+
+
+def _describe_unknown(
+    model: type[pydantic.BaseModel], path: tuple[str | int, ...]
+) -> str:
+    """Words an unknown key with the nearest known one."""
+    known = _find_keys(model, path[:-1])
+    near = difflib.get_close_matches(str(path[-1]), known, n=1)
+    hint = f"; did you mean {near[0]!r}?" if near else ""
+    return f"unknown key{hint}"
+
+
+def _find_keys(
+    model: type[pydantic.BaseModel], path: tuple[str | int, ...]
+) -> list[str]:
+    current: Any = model
+    for part in path:
+        if isinstance(part, int):
+            continue
+        field = getattr(current, "model_fields", {}).get(part)
+        if field is None:
+            return []
+        current = _unwrap(field.annotation)
+    return list(getattr(current, "model_fields", {}))
+
+
+def _unwrap(annotation: Any) -> Any:
+    """Returns the model inside list[...], dict[..., ...] or X | None."""
+    for argument in getattr(annotation, "__args__", ()):
+        inner = _unwrap(argument)
+        if isinstance(inner, type) and issubclass(inner, pydantic.BaseModel):
+            return inner
+    return annotation
--- /dev/null
+++ b/agatedock/reports.py
@@ -0,0 +1,113 @@
+"""Reads the load reports and cache events of a home's engines."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import aiohttp
+import pydantic
+
+from agatedock import home
+from agatedock import settings
+from agatedock import upstreams
+
+CALL_TIMEOUT_S = 1.0
+POLL_EVERY_S = 0.1
+
+_log = logging.getLogger(__name__)
+
+
+class CacheEvent(pydantic.BaseModel):
+    """A change of an engine's prefix cache.
+
+    Attributes:
+      tokens: Tokens held of the prefix; 0 once evicted.
+    """
+
+    sequence: int
+    prefix_key: str
+    tokens: int
+
+
+class LoadReport(pydantic.BaseModel):
+    """What an engine says of itself.
+
+    Attributes:
+      running: Requests it has taken and not ended.
+      events: Cache events after the sequence that was asked for.
+    """
+
+    running: int
+    draining: bool = False
+    events: list[CacheEvent] = []
+
+
+class Reader:
+    """Polls the engines of this home, one task for each."""
+
+    def __init__(
+        self,
+        config: settings.Home,
+        own_home: home.Home,
+        known: upstreams.View,
+        client: aiohttp.ClientSession,
+    ):
+        self._period_s = config.load_poll_ms / 1000
+        self._home = own_home
+        self._upstreams = known
+        self._client = client
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Keeps one reading task for each engine until cancelled."""
+        try:
+            while True:
+                for engine in self._home.gates:
+                    if engine not in self._tasks:
+                        task = asyncio.create_task(self._read_engine(engine))
+                        self._tasks[engine] = task
+                await asyncio.sleep(POLL_EVERY_S)
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    async def _read_engine(self, engine: str) -> None:
+        """Reads one engine for as long as this router is its home."""
+        sequence = 0
+        try:
+            while engine in self._home.gates:
+                known = self._upstreams.upstreams.get(engine)
+                if known is None:
+                    return
+                sequence = await self._read_once(known, sequence)
+                await asyncio.sleep(self._period_s)
+        finally:
+            self._tasks.pop(engine, None)
+
+    async def _read_once(self, known: upstreams.Upstream, sequence: int) -> int:
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self._client.get(
+                f"{known.url}/load",
+                params={"after": str(sequence)},
+                timeout=timeout,
+            ) as response:
+                report = LoadReport.model_validate_json(await response.read())
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            pydantic.ValidationError,
+        ):
+            self._home.take_failure(known.name, time.monotonic())
+            return sequence
+        self._home.take_report(
+            known.name, report.running, report.draining, time.monotonic()
+        )
+        for event in report.events:
+            self._home.take_cache_event(
+                known.name, event.prefix_key, event.tokens
+            )
+            sequence = max(sequence, event.sequence)
+        return sequence
--- /dev/null
+++ b/agatedock/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Typed calls between routers; generated from peer.proto by `make rpc`."""
--- /dev/null
+++ b/agatedock/settings.py
@@ -0,0 +1,143 @@
+"""Settings of one process: packaged defaults, then a file, then options."""
+
+from __future__ import annotations
+
+import importlib.resources
+import pathlib
+from typing import Annotated
+from typing import Any
+
+import pydantic
+import yaml
+
+from agatedock import errors
+from agatedock import places
+
+_Name = Annotated[str, pydantic.StringConstraints(pattern=r"^[\w.-]{1,40}$")]
+_Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
+_Millis = Annotated[int, pydantic.Field(gt=0)]
+_Count = Annotated[int, pydantic.Field(gt=0)]
+_Rate = Annotated[float, pydantic.Field(gt=0)]
+
+
+class _Section(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Listen(_Section):
+    """Addresses of this process."""
+
+    host: str
+    caller_port: _Port
+    peer_port: _Port
+    rpc_port: _Port
+    gossip_port: _Port
+
+
+class Platform(_Section):
+    """Where the platform's services are and how often they are asked."""
+
+    key_value: str
+    key_value_url: str
+    vm_list: str
+    vm_list_url: str
+    vm_list_poll_ms: _Millis
+    watch_wait_ms: _Millis
+    watchers: _Count
+    config_poll_ms: _Millis
+
+
+class Limits(_Section):
+    """Limits on callers and upstreams."""
+
+    body_max_bytes: _Count
+    body_timeout_ms: _Millis
+    upstream_silence_ms: _Millis
+    connect_timeout_ms: _Millis
+    service_timeout_ms: _Millis
+    drain_timeout_ms: _Millis
+
+
+class Gossip(_Section):
+    """Rates and timeouts of membership."""
+
+    probes_per_s: _Rate
+    probe_timeout_ms: _Millis
+    suspicion_ms: _Millis
+    updates_per_s: _Rate
+    datagram_max_bytes: Annotated[int, pydantic.Field(ge=400, le=1400)]
+    forget_dead_ms: _Millis
+
+
+class Home(_Section):
+    """Conduct of a router as the home of engines."""
+
+    quiet_ms: _Millis
+    load_poll_ms: _Millis
+    diversion_ttl_ms: _Millis
+    diversions_max: _Count
+
+
+class Log(_Section):
+    """Logging."""
+
+    level: Annotated[
+        str, pydantic.StringConstraints(pattern="^(debug|info|warning|error)$")
+    ]
+
+
+class Settings(_Section):
+    """All settings of one router."""
+
+    name: _Name
+    failure_domain: _Name
+    listen: Listen
+    platform: Platform
+    limits: Limits
+    gossip: Gossip
+    home: Home
+    log: Log
+
+
+def load(path: pathlib.Path | None, options: list[str]) -> Settings:
+    """Returns the checked settings from all three layers.
+
+    Args:
+      path: The operator's file, or None.
+      options: `KEY.PATH=VALUE` from the command line; values are YAML.
+
+    Raises:
+      errors.FindingsError: With every finding of every layer.
+    """
+    packaged = importlib.resources.files("agatedock") / "defaults.yaml"
+    merged, _ = places.load_text(packaged.read_text(), "defaults.yaml")
+    source = "defaults.yaml"
+    lines: places.Lines = {}
+    if path is not None:
+        data, lines = places.load_file(path)
+        source = str(path)
+        merged = merge(merged, data)
+    for option in options:
+        merged = merge(merged, _parse_option(option))
+    return places.check(Settings, merged, lines, source)
+
+
+def merge(base: dict[str, Any], over: dict[str, Any]) -> dict[str, Any]:
+    """Returns `base` with the keys of `over` laid over it at every depth."""
+    result = dict(base)
+    for key, value in over.items():
+        if isinstance(value, dict) and isinstance(result.get(key), dict):
+            result[key] = merge(result[key], value)
+        else:
+            result[key] = value
+    return result
+
+
+def _parse_option(option: str) -> dict[str, Any]:
+    key, separator, text = option.partition("=")
+    if not separator:
+        raise errors.UserError(f"--set {option!r}: expected KEY.PATH=VALUE")
+    value: Any = yaml.safe_load(text)
+    for part in reversed(key.split(".")):
+        value = {part: value}
+    return value
--- /dev/null
+++ b/agatedock/store.py
@@ -0,0 +1,170 @@
+"""Edits of the fleet configuration in the platform's key-value service."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from returns import result
+
+from agatedock import errors
+from agatedock import fleet
+from agatedock import platform
+
+CURRENT_KEY = "agatedock/config/current"
+HISTORY_PREFIX = "agatedock/config/history/"
+READ_BACK_TRIES = 3
+
+
+class Fault(enum.Enum):
+    """Why an edit was not accepted."""
+
+    CONFLICT = "another operator was first"
+    UNAVAILABLE = "the key-value service is out; nothing was accepted"
+    UNKNOWN = "the key-value service went away; the outcome is unknown"
+    STALE_STORE = "the key-value service shows an older state than the fleet"
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """An edit that was not accepted, with the winner's details if any."""
+
+    fault: Fault
+    current: fleet.Document | None = None
+
+    def __str__(self) -> str:
+        text = self.fault.value
+        if self.current is not None:
+            text += (
+                f": revision {self.current.revision} by "
+                f"{self.current.author} ({self.current.reason})"
+            )
+        return text
+
+
+@dataclasses.dataclass(frozen=True)
+class Stored:
+    """The stored document and the version its next edit must expect."""
+
+    document: fleet.Document
+    version: int
+
+
+async def read(kv: platform.KeyValue) -> Stored:
+    """Returns the stored document; an empty one before the first edit."""
+    entry = await kv.get(CURRENT_KEY)
+    if entry is None:
+        return Stored(fleet.Document(), 0)
+    return Stored(fleet.decode(entry.value), entry.version)
+
+
+async def commit(
+    kv: platform.KeyValue,
+    edited: fleet.Document,
+    base: Stored,
+    fleet_revision: int,
+    now_ms: int,
+) -> result.Result[fleet.Document, Rejected]:
+    """Replaces the base document by compare-and-swap.
+
+    Args:
+      kv: The key-value service.
+      edited: The checked new content with author and reason.
+      base: What the operator started from.
+      fleet_revision: Highest revision known to be in force on a router.
+      now_ms: Wall-clock time in milliseconds.
+
+    Returns:
+      The accepted document, or why it was rejected. A lost answer is
+      resolved by reading back before it is called unknown.
+    """
+    if fleet_revision > base.document.revision:
+        return result.Failure(Rejected(Fault.STALE_STORE, base.document))
+    new = edited.model_copy(
+        update={"revision": base.document.revision + 1, "accepted_ms": now_ms}
+    )
+    try:
+        await _keep_history(kv, base)
+    except errors.Unavailable:
+        return result.Failure(Rejected(Fault.UNAVAILABLE))
+    try:
+        await kv.put(CURRENT_KEY, fleet.encode(new), base.version)
+        return result.Success(new)
+    except errors.Conflict:
+        return await _explain_conflict(kv, new)
+    except errors.Unavailable:
+        return await _read_back(kv, new, base)
+
+
+async def _keep_history(kv: platform.KeyValue, base: Stored) -> None:
+    """Stores the document that is about to be replaced, once."""
+    if base.version == 0:
+        return
+    key = _name_history(base.document.revision)
+    try:
+        await kv.put(key, fleet.encode(base.document), 0)
+    except errors.Conflict:
+        return
+
+
+def _name_history(revision: int) -> str:
+    return f"{HISTORY_PREFIX}{revision:010d}"
+
+
+async def _explain_conflict(
+    kv: platform.KeyValue, new: fleet.Document
+) -> result.Result[fleet.Document, Rejected]:
+    try:
+        stored = await read(kv)
+        if await _was_accepted(kv, new, stored):
+            return result.Success(new)
+    except errors.Unavailable:
+        return result.Failure(Rejected(Fault.UNKNOWN))
+    return result.Failure(Rejected(Fault.CONFLICT, stored.document))
+
+
+async def _was_accepted(
+    kv: platform.KeyValue, new: fleet.Document, stored: Stored
+) -> bool:
+    """Tells whether a document is current or was replaced since."""
+    if stored.document == new:
+        return True
+    entry = await kv.get(_name_history(new.revision))
+    return entry is not None and fleet.decode(entry.value) == new
+
+
+async def _read_back(
+    kv: platform.KeyValue, new: fleet.Document, base: Stored
+) -> result.Result[fleet.Document, Rejected]:
+    """Finds out whether a write whose answer was lost took effect."""
+    for _ in range(READ_BACK_TRIES):
+        try:
+            stored = await read(kv)
+        except errors.Unavailable:
+            continue
+        if stored.version != base.version:
+            return await _explain_conflict(kv, new)
+        # Nobody has written yet, but the lost write may still be under way:
+        # writing the same document at the same version settles it.
+        try:
+            await kv.put(CURRENT_KEY, fleet.encode(new), base.version)
+            return result.Success(new)
+        except errors.Conflict:
+            return await _explain_conflict(kv, new)
+        except errors.Unavailable:
+            continue
+    return result.Failure(Rejected(Fault.UNKNOWN))
+
+
+async def read_history(
+    kv: platform.KeyValue, most: int
+) -> list[fleet.Document]:
+    """Returns the newest documents, the current one first."""
+    stored = await read(kv)
+    documents = [stored.document]
+    keys = await kv.list_keys(HISTORY_PREFIX)
+    for key in sorted(keys, reverse=True)[: most - 1]:
+        entry = await kv.get(key)
+        if entry is not None:
+            documents.append(fleet.decode(entry.value))
+    return documents
--- /dev/null
+++ b/agatedock/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Programs of agatedock: thin commands that call the kernel."""
--- /dev/null
+++ b/agatedock/ui/config.py
@@ -0,0 +1,375 @@
+"""Commands that check settings and edit the fleet configuration."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import difflib
+import getpass
+import json
+import pathlib
+import time
+from typing import Annotated
+from typing import Any
+
+import cappa
+from returns import result
+import yaml
+
+from agatedock import errors
+from agatedock import fleet
+from agatedock import places
+from agatedock import platform
+from agatedock import settings
+from agatedock import store
+from agatedock.ui import common
+
+WAIT_S = 6.0
+WAIT_STEP_S = 0.2
+OFFER_ROUTERS = 3
+# Fields that the commands fill in, not the operator.
+_STAMPS = {"revision", "accepted_ms", "author", "reason"}
+_EXIT_CODES = {
+    store.Fault.CONFLICT: common.EXIT_CONFLICT,
+    store.Fault.STALE_STORE: common.EXIT_CONFLICT,
+    store.Fault.UNAVAILABLE: common.EXIT_UNAVAILABLE,
+    store.Fault.UNKNOWN: common.EXIT_UNKNOWN,
+}
+
+
+def check_file(command: Check) -> None:
+    """Checks a file without starting or changing anything."""
+    if command.kind == "settings":
+        settings.load(command.file, [])
+    else:
+        read_document(command.file)
+    print(f"{command.file}: no findings")
+
+
+@cappa.command(
+    help="Check a settings file or a fleet configuration.",
+    epilog="Example: agatedock check fleet fleet.yaml",
+    invoke=check_file,
+)
+@dataclasses.dataclass
+class Check(common.Target):
+    """Arguments of `check`."""
+
+    kind: Annotated[
+        str, cappa.Arg(choices=["settings", "fleet"], help="Kind of file.")
+    ]
+    file: Annotated[pathlib.Path, cappa.Arg(help="File to check.")]
+
+
+def read_document(path: pathlib.Path) -> fleet.Document:
+    """Reads and checks an operator's fleet configuration.
+
+    Raises:
+      errors.FindingsError: With every finding and its place.
+    """
+    data, lines = places.load_file(path)
+    return fleet.check(data, lines, str(path), _wall_ms())
+
+
+def show(command: Show) -> None:
+    """Prints the stored configuration as YAML."""
+    stored = common.run(_with_store(command, store.read))
+    if command.as_json:
+        print(fleet.encode(stored.document).decode())
+    else:
+        print(_to_yaml(stored.document), end="")
+
+
+@cappa.command(
+    help="Show the configuration in force.",
+    epilog="Example: agatedock config show > fleet.yaml",
+    invoke=show,
+)
+@dataclasses.dataclass
+class Show(common.Target):
+    """Arguments of `config show`."""
+
+
+def edit(command: Edit) -> None:
+    """Makes a file the fleet configuration."""
+    document = read_document(command.file)
+    common.run(_edit(command, document, command.base))
+
+
+@cappa.command(
+    help="Replace the configuration by a file.",
+    epilog=(
+        "Example: agatedock config edit fleet.yaml --base 7 "
+        "--reason 'more slots for the new engines'"
+    ),
+    invoke=edit,
+)
+@dataclasses.dataclass
+class Edit(common.Target):
+    """Arguments of `config edit`."""
+
+    file: Annotated[pathlib.Path, cappa.Arg(help="New configuration.")]
+    reason: Annotated[str, cappa.Arg(long="--reason", help="Why.")]
+    author: Annotated[
+        str, cappa.Arg(long="--author", help="Who; else the login name.")
+    ] = ""
+    base: Annotated[
+        int | None,
+        cappa.Arg(
+            long="--base",
+            help="Revision the file was made from; another one is a conflict.",
+        ),
+    ] = None
+
+
+def set_default(command: Set) -> None:
+    """Changes one default."""
+    common.run(_set_default(command))
+
+
+async def _set_default(command: Set) -> None:
+    stored = await _with_store(command, store.read)
+    data = json.loads(fleet.encode(stored.document))
+    data["defaults"][command.key] = yaml.safe_load(command.value)
+    document = fleet.check(data, {}, "command line", _wall_ms())
+    await _edit(command, document, stored.document.revision)
+
+
+@cappa.command(
+    help="Change one default.",
+    epilog=(
+        "Example: agatedock config set load_bound 1.4 "
+        "--reason 'engines run hot'"
+    ),
+    invoke=set_default,
+)
+@dataclasses.dataclass
+class Set(common.Target):
+    """Arguments of `config set`."""
+
+    key: Annotated[str, cappa.Arg(help="Name of the default.")]
+    value: Annotated[str, cappa.Arg(help="New value, as YAML.")]
+    reason: Annotated[str, cappa.Arg(long="--reason", help="Why.")]
+    author: Annotated[str, cappa.Arg(long="--author", help="Who.")] = ""
+
+
+def diff(command: Diff) -> None:
+    """Prints what a file would change."""
+    stored = common.run(_with_store(command, store.read))
+    edited = read_document(command.file)
+    lines = difflib.unified_diff(
+        _to_yaml(stored.document).splitlines(),
+        _to_yaml(edited).splitlines(),
+        f"revision {stored.document.revision}",
+        str(command.file),
+        lineterm="",
+    )
+    for line in lines:
+        print(line)
+
+
+@cappa.command(
+    help="Show what a file would change.",
+    epilog="Example: agatedock config diff fleet.yaml",
+    invoke=diff,
+)
+@dataclasses.dataclass
+class Diff(common.Target):
+    """Arguments of `config diff`."""
+
+    file: Annotated[pathlib.Path, cappa.Arg(help="New configuration.")]
+
+
+def show_history(command: History) -> None:
+    """Prints who changed what, when and why."""
+    documents = common.run(
+        _with_store(command, lambda kv: store.read_history(kv, command.most))
+    )
+    rows = [
+        {
+            "revision": d.revision,
+            "at": _format_time(d.accepted_ms),
+            "author": d.author,
+            "reason": d.reason,
+        }
+        for d in documents
+    ]
+    common.print_rows(command, rows, ["revision", "at", "author", "reason"])
+
+
+@cappa.command(
+    help="Show past changes, the newest first.",
+    epilog="Example: agatedock config history --most 5",
+    invoke=show_history,
+)
+@dataclasses.dataclass
+class History(common.Target):
+    """Arguments of `config history`."""
+
+    most: Annotated[int, cappa.Arg(long="--most", help="Rows.")] = 20
+
+
+def restore(command: Restore) -> None:
+    """Writes the fleet's configuration into a service that lost it."""
+    common.run(_restore(command))
+
+
+async def _restore(command: Restore) -> None:
+    data = await common.fetch(command, "/config")
+    held = fleet.Document.model_validate(data)
+    kv = _open_store(command)
+    try:
+        stored = await store.read(kv)
+        # The next revision must be above all that any router has seen.
+        base = store.Stored(
+            stored.document.model_copy(update={"revision": held.revision}),
+            stored.version,
+        )
+        stamped = _stamp(held, command.author, command.reason)
+        outcome = await store.commit(
+            kv, stamped, base, held.revision, _wall_ms()
+        )
+    finally:
+        await kv.close()
+    await _finish(command, outcome)
+
+
+@cappa.command(
+    help="Write a router's configuration into a service that lost it.",
+    epilog="Example: agatedock config restore --reason 'backup was old'",
+    invoke=restore,
+)
+@dataclasses.dataclass
+class Restore(common.Target):
+    """Arguments of `config restore`."""
+
+    reason: Annotated[str, cappa.Arg(long="--reason", help="Why.")]
+    author: Annotated[str, cappa.Arg(long="--author", help="Who.")] = ""
+
+
+@cappa.command(
+    help="Show and change the fleet configuration.",
+    epilog="Example: agatedock config show --key-value http://10.0.0.2:7001",
+)
+@dataclasses.dataclass
+class Config:
+    """Arguments of `config`."""
+
+    command: cappa.Subcommands[Show | Edit | Set | Diff | History | Restore]
+
+
+# Work of the commands.
+
+
+def _open_store(command: common.Target) -> platform.KeyValue:
+    if not command.key_value:
+        raise common.Exit(
+            common.EXIT_USAGE, "--key-value or AGATEDOCK_KEY_VALUE is needed"
+        )
+    return platform.key_values.get("http")(command.key_value)
+
+
+async def _with_store(command: common.Target, work) -> Any:
+    kv = _open_store(command)
+    try:
+        return await work(kv)
+    finally:
+        await kv.close()
+
+
+async def _edit(
+    command: Any, document: fleet.Document, base: int | None
+) -> None:
+    revision = await _ask_fleet(command)
+    kv = _open_store(command)
+    try:
+        stored = await store.read(kv)
+        if base is not None and stored.document.revision != base:
+            raise common.Exit(
+                common.EXIT_CONFLICT,
+                str(store.Rejected(store.Fault.CONFLICT, stored.document)),
+            )
+        stamped = _stamp(document, command.author, command.reason)
+        outcome = await store.commit(kv, stamped, stored, revision, _wall_ms())
+    finally:
+        await kv.close()
+    await _finish(command, outcome)
+
+
+async def _ask_fleet(command: common.Target) -> int:
+    """Returns the highest revision known to a router, 0 without one."""
+    if not command.router:
+        return 0
+    dump = await common.fetch(command, "/dump")
+    known = [m["revision"] or 0 for m in dump["members"]]
+    return max([dump["config"]["revision"], *known])
+
+
+def _stamp(
+    document: fleet.Document, author: str, reason: str
+) -> fleet.Document:
+    return document.model_copy(
+        update={"author": author or getpass.getuser(), "reason": reason}
+    )
+
+
+async def _finish(
+    command: common.Target,
+    outcome: result.Result[fleet.Document, store.Rejected],
+) -> None:
+    """Reports an edit and helps it into force on all routers."""
+    match outcome:
+        case result.Success(document):
+            print(f"accepted as revision {document.revision}")
+            if command.router:
+                await _offer(command, document)
+                await _wait_in_force(command, document.revision)
+        case result.Failure(rejected):
+            raise common.Exit(_EXIT_CODES[rejected.fault], str(rejected))
+
+
+async def _offer(command: common.Target, document: fleet.Document) -> None:
+    """Gives an accepted document to a few routers directly.
+
+    The service may go away before any router has read the change.
+    """
+    dump = await common.fetch(command, "/dump")
+    up = [m for m in dump["members"] if m["status"] == "alive"]
+    for member in up[:OFFER_ROUTERS]:
+        url = f"http://{member['host']}:{member['peer_port']}/config"
+        try:
+            await common.fetch_url(url, fleet.encode(document))
+        except errors.Unavailable:
+            continue
+
+
+async def _wait_in_force(command: common.Target, revision: int) -> None:
+    until = time.monotonic() + WAIT_S
+    behind: list[str] = []
+    while time.monotonic() < until:
+        dump = await common.fetch(command, "/dump")
+        behind = [
+            m["name"]
+            for m in dump["members"]
+            if m["status"] == "alive" and (m["revision"] or 0) < revision
+        ]
+        if not behind:
+            print("in force on all routers")
+            return
+        await asyncio.sleep(WAIT_STEP_S)
+    print(f"not yet confirmed by: {', '.join(behind)}")
+
+
+def _to_yaml(document: fleet.Document) -> str:
+    data = json.loads(fleet.encode(document))
+    stamps = {key: data.pop(key) for key in list(data) if key in _STAMPS}
+    head = "".join(f"# {key}: {value}\n" for key, value in stamps.items())
+    return head + yaml.safe_dump(data, sort_keys=False)
+
+
+def _format_time(moment_ms: int) -> str:
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(moment_ms / 1000))
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/agatedock/ui/operator.py
@@ -0,0 +1,46 @@
+"""The program agatedock: what operators do with the fleet."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import cappa
+
+from agatedock import plugins
+from agatedock.ui import common
+from agatedock.ui import config
+from agatedock.ui import look
+
+
+@cappa.command(
+    name="agatedock",
+    help="Operate an agatedock fleet.",
+    epilog=(
+        "Example: agatedock routers --router http://10.0.0.4:7100. "
+        "Exit codes: 0 done, 1 failed, 2 usage, 3 conflict, "
+        "4 no answer, 5 outcome unknown."
+    ),
+)
+@dataclasses.dataclass
+class Operate:
+    """Arguments of agatedock."""
+
+    command: cappa.Subcommands[
+        config.Check
+        | config.Config
+        | look.Dump
+        | look.Explain
+        | look.Routers
+        | look.Upstreams
+    ]
+
+
+def main() -> None:
+    """Runs the program."""
+    with common.show_user_errors():
+        plugins.load()
+        cappa.invoke(Operate, deps=[])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/agatedockplug/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-ins of agatedock; importing a module registers what it offers."""
--- /dev/null
+++ b/agatedockplug/vmhttp.py
@@ -0,0 +1,49 @@
+"""VM list over HTTP; unchanged lists are answered with status 304."""
+
+from __future__ import annotations
+
+import aiohttp
+import pydantic
+
+from agatedock import errors
+from agatedock import platform
+
+_CALL_TIMEOUT_S = 2.0
+_ROWS = pydantic.TypeAdapter(list[platform.Vm])
+
+
+@platform.vm_lists.register("http")
+class HttpVmList:
+    """Client of a VM list at a URL; sends the last ETag to save bytes."""
+
+    def __init__(self, url: str):
+        self._url = url
+        self._etag = ""
+        self._session: aiohttp.ClientSession | None = None
+
+    async def read(self) -> list[platform.Vm] | None:
+        """Returns all rows, or None if nothing changed since the last read."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
+        headers = {"If-None-Match": self._etag}
+        try:
+            async with self._session.get(
+                self._url, headers=headers, timeout=timeout
+            ) as response:
+                if response.status == 304:
+                    return None
+                if response.status != 200:
+                    raise errors.Unavailable(f"status {response.status}")
+                rows = _ROWS.validate_json(await response.read())
+                self._etag = response.headers.get("ETag", "")
+                return rows
+        except (TimeoutError, aiohttp.ClientError) as error:
+            raise errors.Unavailable(repr(error)) from error
+        except pydantic.ValidationError as error:
+            raise errors.Unavailable(f"bad VM list: {error}") from error
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, with switches for their faults."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,366 @@
+"""Stand-in for a model engine with continuous batching and a prefix cache.
+
+The text of an answer follows from the last message alone, so that any engine
+continues it in the same way. Faults: `cut_after` (a count of events after
+which one stream is cut), `cross` (a count of streams that carry another
+request's id), `stall_ms` (before the first token), `draining`, `refuse`,
+`lose_events` (one in so many cache events is lost).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import collections
+import dataclasses
+import json
+import time
+import zlib
+
+from aiohttp import web
+
+from standins import host
+
+KEEP_SILENT_S = 8.0
+DEFAULT_ANSWER_TOKENS = 16
+CHARS_PER_TOKEN = 4
+
+
+@dataclasses.dataclass
+class Generation:
+    """A request that the engine has taken.
+
+    Attributes:
+      prefill_left: Prompt tokens still to be computed.
+      offset: Index of the first token that this engine makes.
+      tokens: Texts made so far.
+    """
+
+    request_id: str
+    priority: int
+    prefix_key: str
+    word: str
+    prompt_tokens: int
+    cached_tokens: int
+    prefill_left: float
+    answer_tokens: int
+    offset: int
+    arrived: float
+    stream_id: str
+    tokens: list[str] = dataclasses.field(default_factory=list)
+    running: bool = False
+    readers: int = 0
+    left_at: float = 0.0
+    cancelled: bool = False
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    @property
+    def finished(self) -> bool:
+        """Tells whether all tokens are made."""
+        return self.offset + len(self.tokens) >= self.answer_tokens
+
+    def wake(self) -> None:
+        """Wakes the readers."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class Engine:
+    """Batches requests, caches prefixes and records what it ran."""
+
+    def __init__(self, arguments):
+        self.faults = host.Faults()
+        self._name = arguments.name
+        self._batch = arguments.batch
+        self._step_s = arguments.step_ms / 1000
+        self._prefill_per_s = arguments.prefill_per_s
+        self._cache_tokens = arguments.cache_tokens
+        self._lag_s = arguments.lag_ms / 1000
+        self._taken: dict[str, Generation] = {}
+        self._cache: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._cached_total = 0
+        self._events: list[dict] = []
+        self._sequence = 0
+        self._loads: list[tuple[float, int]] = [(0.0, 0)]
+        self._peak = 0
+        self._runs: list[dict] = []
+
+    def make_app(self) -> web.Application:
+        """Returns the application."""
+        app = web.Application(client_max_size=8 << 20)
+        app.router.add_post("/v1/chat/completions", self._serve)
+        app.router.add_delete("/v1/requests/{id}", self._cancel)
+        app.router.add_get("/load", self._report)
+        app.router.add_get("/record", self._record)
+        host.add_faults(app, self.faults)
+        app.on_startup.append(self._start)
+        return app
+
+    async def _start(self, _: web.Application) -> None:
+        self._loop_task = asyncio.create_task(self._run_steps())
+
+    # Batching.
+
+    async def _run_steps(self) -> None:
+        while True:
+            await asyncio.sleep(self._step_s)
+            self._fill_batch()
+            self._step()
+            self._drop_silent()
+
+    def _fill_batch(self) -> None:
+        running = sum(g.running for g in self._taken.values())
+        waiting = [g for g in self._taken.values() if not g.running]
+        waiting.sort(key=lambda g: (g.priority, g.arrived))
+        for generation in waiting[: max(0, self._batch - running)]:
+            generation.running = True
+
+    def _step(self) -> None:
+        budget = self._prefill_per_s * self._step_s
+        for generation in list(self._taken.values()):
+            if not generation.running or generation.finished:
+                continue
+            if generation.prefill_left > 0:
+                used = min(budget, generation.prefill_left)
+                generation.prefill_left -= used
+                budget -= used
+                continue
+            index = generation.offset + len(generation.tokens)
+            generation.tokens.append(f"{generation.word}{index} ")
+            generation.wake()
+            if generation.finished:
+                self._finish(generation)
+
+    def _drop_silent(self) -> None:
+        now = time.monotonic()
+        for generation in list(self._taken.values()):
+            silent = generation.readers == 0 and generation.left_at
+            if silent and now - generation.left_at > KEEP_SILENT_S:
+                self._drop(generation)
+
+    def _finish(self, generation: Generation) -> None:
+        total = generation.prompt_tokens + generation.answer_tokens
+        self._store_prefix(generation.prefix_key, total)
+        if generation.readers == 0:
+            return
+        self._drop(generation)
+
+    def _drop(self, generation: Generation) -> None:
+        if self._taken.get(generation.request_id) is generation:
+            del self._taken[generation.request_id]
+            self._note_load()
+        generation.wake()
+
+    def _note_load(self) -> None:
+        self._peak = max(self._peak, len(self._taken))
+        self._loads.append((time.monotonic(), len(self._taken)))
+
+    # Prefix cache.
+
+    def _store_prefix(self, key: str, tokens: int) -> None:
+        if not key:
+            return
+        self._cached_total += tokens - self._cache.pop(key, 0)
+        self._cache[key] = tokens
+        self._publish(key, tokens)
+        while self._cached_total > self._cache_tokens and self._cache:
+            evicted, size = self._cache.popitem(last=False)
+            self._cached_total -= size
+            self._publish(evicted, 0)
+
+    def _publish(self, key: str, tokens: int) -> None:
+        self._sequence += 1
+        every = self.faults.get_number("lose_events")
+        if every and self._sequence % every == 0:
+            return
+        self._events.append(
+            {
+                "sequence": self._sequence,
+                "prefix_key": key,
+                "tokens": tokens,
+                "at": time.monotonic(),
+            }
+        )
+        del self._events[:-1000]
+
+    # Requests.
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        data = await request.json()
+        if self.faults.get("draining"):
+            return web.Response(status=503, headers={"X-Draining": "1"})
+        if self.faults.get("refuse"):
+            return web.Response(status=503)
+        generation = self._take(request, data)
+        first = int(request.headers.get("X-Resume-Offset", 0))
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "X-Cached-Tokens": str(generation.cached_tokens),
+            }
+        )
+        generation.readers += 1
+        try:
+            await response.prepare(request)
+            stall_ms = self.faults.get_number("stall_ms")
+            await asyncio.sleep(stall_ms / 1000)
+            return await self._write(request, response, generation, first)
+        finally:
+            generation.readers -= 1
+            generation.left_at = time.monotonic()
+
+    def _take(self, request: web.Request, data: dict) -> Generation:
+        """Returns the running generation of a request or starts one."""
+        request_id = request.headers["X-Request-Id"]
+        stream_id = request.headers.get("X-Stream-Id", "")
+        known = self._taken.get(request_id)
+        if known is not None:
+            known.stream_id = stream_id
+            return known
+        key = request.headers.get("X-Prefix-Key", "")
+        done = data.get("continue", {})
+        chars = sum(len(m["content"]) for m in data["messages"])
+        chars += len(done.get("text", ""))
+        prompt = chars // CHARS_PER_TOKEN
+        cached = min(self._cache.get(key, 0), prompt)
+        if key in self._cache:
+            self._cache.move_to_end(key)
+        answer = data.get("answer_tokens", DEFAULT_ANSWER_TOKENS)
+        last = data["messages"][-1]["content"].encode()
+        generation = Generation(
+            request_id=request_id,
+            priority=int(request.headers.get("X-Priority", 1)),
+            prefix_key=key,
+            word=f"w{zlib.crc32(last) % 1000:03d}-",
+            prompt_tokens=prompt,
+            cached_tokens=cached,
+            prefill_left=prompt - cached,
+            answer_tokens=min(answer, data["max_tokens"]),
+            offset=int(done.get("events", 0)),
+            arrived=time.monotonic(),
+            stream_id=stream_id,
+        )
+        self._taken[request_id] = generation
+        self._note_load()
+        self._runs.append(
+            {
+                "request_id": request_id,
+                "prefix_key": key,
+                "prompt_tokens": prompt,
+                "cached_tokens": cached,
+                "offset": generation.offset,
+                "priority": generation.priority,
+                "load": len(self._taken),
+                "at": time.monotonic(),
+            }
+        )
+        return generation
+
+    async def _write(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        generation: Generation,
+        first: int,
+    ) -> web.StreamResponse:
+        request_id = generation.request_id
+        if self.faults.take_one("cross"):
+            request_id = "of-another-request"
+        index = first
+        while True:
+            changed = generation.changed
+            ready = generation.tokens[index - generation.offset :]
+            if ready:
+                await response.write(_encode(request_id, index, ready))
+                index += len(ready)
+                cut = self.faults.get_number("cut_after")
+                if cut and index >= cut:
+                    self.faults["cut_after"] = 0
+                    if request.transport is not None:
+                        request.transport.abort()
+                    return response
+            if index >= generation.answer_tokens:
+                break
+            if generation.cancelled:
+                return response
+            await changed.wait()
+        usage = {
+            "prompt_tokens": generation.prompt_tokens,
+            "completion_tokens": generation.answer_tokens,
+            "cached_tokens": generation.cached_tokens,
+        }
+        end = {
+            "id": request_id,
+            "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+            "usage": usage,
+        }
+        tail = f"id: {index}\ndata: {json.dumps(end)}\n\ndata: [DONE]\n\n"
+        await response.write(tail.encode())
+        await response.write_eof()
+        self._drop(generation)
+        return response
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        generation = self._taken.get(request.match_info["id"])
+        stream_id = request.headers.get("X-Stream-Id", "")
+        if generation is not None and stream_id in ("", generation.stream_id):
+            generation.cancelled = True
+            self._drop(generation)
+        return web.Response(status=204)
+
+    # Reports.
+
+    async def _report(self, request: web.Request) -> web.Response:
+        then = time.monotonic() - self._lag_s
+        index = bisect.bisect_right(self._loads, (then, 1 << 30)) - 1
+        after = int(request.query.get("after", 0))
+        events = [
+            event
+            for event in self._events
+            if event["sequence"] > after and event["at"] <= then
+        ]
+        return web.json_response(
+            {
+                "running": self._loads[max(0, index)][1],
+                "draining": bool(self.faults.get("draining")),
+                "events": events,
+            }
+        )
+
+    async def _record(self, _: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "name": self._name,
+                "peak": self._peak,
+                "running": len(self._taken),
+                "runs": self._runs,
+                "loads": self._loads,
+            }
+        )
+
+
+def _encode(request_id: str, first: int, tokens: list[str]) -> bytes:
+    parts = []
+    for index, token in enumerate(tokens, first):
+        choice = {"index": 0, "delta": {"content": token}}
+        payload = json.dumps({"id": request_id, "choices": [choice]})
+        parts.append(f"id: {index}\ndata: {payload}\n\n")
+    return "".join(parts).encode()
+
+
+def main() -> None:
+    """Runs the stand-in."""
+    parser = host.make_parser("model engine")
+    parser.add_argument("--batch", type=int, default=16)
+    parser.add_argument("--step-ms", type=float, default=10.0)
+    parser.add_argument("--prefill-per-s", type=float, default=8000.0)
+    parser.add_argument("--cache-tokens", type=int, default=200_000)
+    parser.add_argument("--lag-ms", type=float, default=300.0)
+    arguments = parser.parse_args()
+    host.run(Engine(arguments).make_app(), arguments)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,318 @@
+"""Starts a whole system of separate processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+from typing import Any
+
+import aiohttp
+import yaml
+
+READY_S = 20.0
+STOP_S = 20.0
+CALL_S = 5.0
+
+
+@dataclasses.dataclass
+class Process:
+    """A started process and the ports it reported."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    ports: dict[str, int]
+
+    @property
+    def port(self) -> int:
+        """Returns the port of a stand-in or a router's caller port."""
+        return self.ports.get("port") or self.ports["caller"]
+
+    @property
+    def url(self) -> str:
+        """Returns the base URL."""
+        return f"http://127.0.0.1:{self.port}"
+
+    @property
+    def peer_url(self) -> str:
+        """Returns a router's URL for peers and operators."""
+        return f"http://127.0.0.1:{self.ports['peer']}"
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to this process."""
+        self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Waits for the end of the process; returns its exit code."""
+        return await asyncio.wait_for(self.process.wait(), STOP_S)
+
+    async def kill(self) -> None:
+        """Ends the process at once."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What to start.
+
+    Attributes:
+      document: The fleet configuration.
+      engines: Failure domain of each engine by model.
+      replicas: Failure domain of each replica by plain service.
+      engine_options: Command line of every engine.
+      settings: Settings laid over every router's.
+    """
+
+    document: dict[str, Any]
+    routers: tuple[str, ...]
+    engines: dict[str, tuple[str, ...]]
+    replicas: dict[str, tuple[str, ...]]
+    engine_options: tuple[str, ...] = ()
+    settings: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+class Fleet:
+    """A running system of routers and stand-ins."""
+
+    def __init__(self, plan: Plan):
+        self.plan = plan
+        self.routers: dict[str, Process] = {}
+        self.upstreams: dict[str, Process] = {}
+        self.exit_codes: dict[str, int] = {}
+        self._rows: dict[str, dict[str, Any]] = {}
+        self._folder = tempfile.TemporaryDirectory(prefix="agatedock-")
+        self.folder = pathlib.Path(self._folder.name)
+
+    async def __aenter__(self) -> Fleet:
+        """Starts everything."""
+        self.http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        try:
+            await self._start_all()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Ends everything that is left, routers first."""
+        await self.stop_routers()
+        others = list(self.upstreams.values())
+        others += [p for p in (self._get("kv"), self._get("vms")) if p]
+        for process in others:
+            await process.kill()
+        await self.http.close()
+        self._folder.cleanup()
+
+    def _get(self, name: str) -> Process | None:
+        return getattr(self, name, None)
+
+    async def stop_routers(self) -> None:
+        """Ends all routers in order and keeps their exit codes."""
+        for process in self.routers.values():
+            if process.process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.signal(signal.SIGCONT)
+                    process.process.terminate()
+        for name, process in self.routers.items():
+            try:
+                self.exit_codes[name] = await process.wait()
+            except TimeoutError:
+                await process.kill()
+                self.exit_codes[name] = -9
+
+    async def _start_all(self) -> None:
+        self.kv = await self.start_standin("kv", "kv")
+        self.vms = await self.start_standin("vmlist", "vms")
+        await self._start_upstreams()
+        await asyncio.gather(
+            *(
+                self.start_router(f"router-{index}", domain)
+                for index, domain in enumerate(self.plan.routers)
+            )
+        )
+        document = self.folder / "fleet.yaml"
+        document.write_text(yaml.safe_dump(self.plan.document))
+        code, output = await self.operate(
+            "config", "edit", str(document), "--reason", "first configuration"
+        )
+        if code != 0:
+            raise RuntimeError(f"no configuration: {output}")
+        await self.wait_open()
+
+    async def _start_upstreams(self) -> None:
+        starts = []
+        for model, domains in self.plan.engines.items():
+            for index, domain in enumerate(domains):
+                name = f"{model}-{index}"
+                starts.append(self.start_engine(name, model, domain))
+        for service, domains in self.plan.replicas.items():
+            for index, domain in enumerate(domains):
+                name = f"{service}-{index}"
+                starts.append(self.start_replica(name, service, domain))
+        await asyncio.gather(*starts)
+
+    async def start_engine(self, name: str, model: str, domain: str) -> None:
+        """Starts an engine and lists it."""
+        process = await self.start_standin(
+            "engine", name, *self.plan.engine_options
+        )
+        await self._list_upstream(process, model, domain)
+
+    async def start_replica(self, name: str, service: str, domain: str) -> None:
+        """Starts a replica of a plain service and lists it."""
+        process = await self.start_standin("service", name)
+        await self._list_upstream(process, service, domain)
+
+    async def _list_upstream(
+        self, process: Process, service: str, domain: str
+    ) -> None:
+        self.upstreams[process.name] = process
+        await self.list_vm(
+            {
+                "name": process.name,
+                "role": "upstream",
+                "service": service,
+                "host": "127.0.0.1",
+                "port": process.port,
+                "failure_domain": domain,
+            }
+        )
+
+    async def start_standin(
+        self, module: str, name: str, *options: str
+    ) -> Process:
+        """Starts a stand-in."""
+        return await self._start(
+            name, "-m", f"standins.{module}", "--name", name, *options
+        )
+
+    async def start_router(self, name: str, domain: str) -> Process:
+        """Starts a router and lists it."""
+        settings = {
+            "name": name,
+            "failure_domain": domain,
+            "platform": {
+                "key_value_url": self.kv.url,
+                "vm_list_url": f"{self.vms.url}/vms",
+            },
+        }
+        for section, values in self.plan.settings.items():
+            settings.setdefault(section, {}).update(values)
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        process = await self._start(
+            name, "-m", "agatedock.ui.router", "--settings", str(path)
+        )
+        self.routers[name] = process
+        await self.list_vm(
+            {
+                "name": name,
+                "role": "router",
+                "host": "127.0.0.1",
+                "port": process.ports["peer"],
+                "gossip_port": process.ports["gossip"],
+                "rpc_port": process.ports["rpc"],
+                "failure_domain": domain,
+            }
+        )
+        return process
+
+    async def _start(self, name: str, *arguments: str) -> Process:
+        log = os.environ.get("AGATEDOCK_LOGS")
+        target = self.folder / f"{name}.log"
+        if log:
+            target = pathlib.Path(log) / f"{name}.log"
+        with target.open("ab") as errors:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=errors,
+            )
+        assert process.stdout is not None
+        line = await asyncio.wait_for(process.stdout.readline(), READY_S)
+        if not line.startswith(b"ready "):
+            raise RuntimeError(f"{name}: {target.read_text()[-2000:]}")
+        return Process(name, process, json.loads(line[6:]))
+
+    async def list_vm(self, row: dict[str, Any]) -> None:
+        """Puts a row into the VM list."""
+        self._rows[row["name"]] = row
+        url = f"{self.vms.url}/vms/{row['name']}"
+        async with self.http.put(url, json=row) as response:
+            response.raise_for_status()
+
+    async def mark_leaving(self, name: str) -> None:
+        """Shows a VM as leaving in the VM list."""
+        await self.list_vm({**self._rows[name], "state": "leaving"})
+
+    async def set_faults(self, process: Process, **faults: object) -> None:
+        """Sets fault switches of a stand-in."""
+        async with self.http.post(
+            f"{process.url}/faults", json=faults
+        ) as response:
+            response.raise_for_status()
+
+    async def read(self, process: Process, path: str = "/record") -> Any:
+        """Returns a stand-in's own record."""
+        async with self.http.get(process.url + path) as response:
+            return await response.json()
+
+    async def dump(self, router: Process) -> dict[str, Any]:
+        """Returns the state of a router."""
+        async with self.http.get(f"{router.peer_url}/dump") as response:
+            return await response.json()
+
+    async def operate(self, *arguments: str) -> tuple[int, str]:
+        """Runs the operators' program; returns exit code and output."""
+        router = next(
+            p for p in self.routers.values() if p.process.returncode is None
+        )
+        environment = {
+            **os.environ,
+            "AGATEDOCK_ROUTER": router.peer_url,
+            "AGATEDOCK_KEY_VALUE": self.kv.url,
+        }
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "agatedock.ui.operator",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            env=environment,
+        )
+        output, _ = await process.communicate()
+        assert process.returncode is not None
+        return process.returncode, output.decode()
+
+    async def wait_open(self) -> None:
+        """Waits until every engine has exactly one home that admits."""
+        engines = sum(len(d) for d in self.plan.engines.values())
+        async with asyncio.timeout(READY_S):
+            while True:
+                dumps = [await self.dump(r) for r in self.routers.values()]
+                names = [
+                    e["name"]
+                    for dump in dumps
+                    for e in dump["engines"]
+                    if e["open"]
+                ]
+                agreed = all(
+                    len(dump["members"]) == len(self.routers)
+                    and all(u["home"] for u in dump["upstreams"])
+                    for dump in dumps
+                )
+                if agreed and len(names) == len(set(names)) == engines:
+                    return
+                await asyncio.sleep(0.1)
--- /dev/null
+++ b/standins/host.py
@@ -0,0 +1,64 @@
+"""What all stand-ins share: start on a free port, faults, a record."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import signal
+from typing import Any
+
+from aiohttp import web
+
+
+class Faults(dict):
+    """Fault switches, set over HTTP; a missing switch is off."""
+
+    def get_number(self, name: str) -> int:
+        """Returns a switch as a number, 0 if off."""
+        return int(self.get(name, 0))
+
+    def take_one(self, name: str) -> bool:
+        """Uses up one of a counted fault."""
+        left = self.get_number(name)
+        if left > 0:
+            self[name] = left - 1
+        return left > 0
+
+
+def add_faults(app: web.Application, faults: Faults) -> None:
+    """Adds the route that sets fault switches."""
+
+    async def set_faults(request: web.Request) -> web.Response:
+        faults.update(await request.json())
+        return web.json_response(faults)
+
+    app.router.add_post("/faults", set_faults)
+
+
+def make_parser(text: str) -> argparse.ArgumentParser:
+    """Returns a parser with the options of every stand-in."""
+    parser = argparse.ArgumentParser(description=text)
+    parser.add_argument("--name", default="standin")
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    return parser
+
+
+def run(app: web.Application, arguments: argparse.Namespace) -> None:
+    """Serves until SIGTERM; prints the port once it is bound."""
+    asyncio.run(_run(app, arguments))
+
+
+async def _run(app: web.Application, arguments: argparse.Namespace) -> None:
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+    await runner.setup()
+    await web.TCPSite(runner, arguments.host, arguments.port).start()
+    ready: dict[str, Any] = {"port": runner.addresses[0][1]}
+    print(f"ready {json.dumps(ready)}", flush=True)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+    await runner.cleanup()
--- /dev/null
+++ b/standins/kv.py
@@ -0,0 +1,155 @@
+"""Stand-in for the platform's key-value service.
+
+Faults: `down`, `slow_ms`, `lose_answers` (a count of writes that take effect
+but whose answer is lost), `drop_writes` (writes that neither take effect nor
+are answered).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import time
+
+from aiohttp import web
+
+from standins import host
+
+
+@dataclasses.dataclass
+class Value:
+    """A stored value."""
+
+    data: bytes
+    version: int
+    expires_at: float
+
+
+class Store:
+    """Keys with versions, TTLs, watches and a count of calls."""
+
+    def __init__(self) -> None:
+        self.faults = host.Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self._values: dict[str, Value] = {}
+        self._saved: dict[str, Value] = {}
+        self._version = 0
+        self._changed = asyncio.Condition()
+
+    def make_app(self) -> web.Application:
+        """Returns the application."""
+        app = web.Application(client_max_size=1 << 20)
+        app.router.add_get("/kv", self._list)
+        app.router.add_get("/kv/{key:.+}", self._get)
+        app.router.add_put("/kv/{key:.+}", self._put)
+        app.router.add_post("/save", self._save)
+        app.router.add_post("/restore", self._restore)
+        app.router.add_get("/record", self._record)
+        host.add_faults(app, self.faults)
+        return app
+
+    async def _fail(self, request: web.Request) -> None:
+        """Applies faults that hit every call."""
+        await asyncio.sleep(self.faults.get_number("slow_ms") / 1000)
+        if self.faults.get("down"):
+            if request.transport is not None:
+                request.transport.abort()
+            raise web.HTTPServiceUnavailable()
+
+    def _find(self, key: str) -> Value | None:
+        value = self._values.get(key)
+        if value is not None and time.monotonic() >= value.expires_at:
+            del self._values[key]
+            return None
+        return value
+
+    async def _list(self, request: web.Request) -> web.Response:
+        self.calls["list"] += 1
+        await self._fail(request)
+        prefix = request.query.get("prefix", "")
+        keys = [k for k in sorted(self._values) if k.startswith(prefix)]
+        return web.Response(text="\n".join(k for k in keys if self._find(k)))
+
+    async def _get(self, request: web.Request) -> web.Response:
+        key = request.match_info["key"]
+        after = request.query.get("after")
+        self.calls["watch" if after is not None else "get"] += 1
+        await self._fail(request)
+        if after is not None:
+            return await self._watch(request, key, int(after))
+        return _respond(self._find(key))
+
+    async def _watch(
+        self, request: web.Request, key: str, after: int
+    ) -> web.Response:
+        def is_news() -> bool:
+            value = self._find(key)
+            return value is not None and value.version != after
+
+        try:
+            async with asyncio.timeout(int(request.query["wait_ms"]) / 1000):
+                async with self._changed:
+                    await self._changed.wait_for(is_news)
+        except TimeoutError:
+            return web.Response(status=204)
+        await self._fail(request)
+        return _respond(self._find(key))
+
+    async def _put(self, request: web.Request) -> web.Response:
+        self.calls["put"] += 1
+        data = await request.read()
+        await self._fail(request)
+        if self.faults.take_one("drop_writes"):
+            return self._abort(request)
+        key = request.match_info["key"]
+        current = self._find(key)
+        version = current.version if current else 0
+        if version != int(request.query["expected"]):
+            return web.Response(status=409)
+        ttl_ms = int(request.query.get("ttl_ms", 0))
+        until = time.monotonic() + ttl_ms / 1000 if ttl_ms else float("inf")
+        self._version += 1
+        self._values[key] = Value(data, self._version, until)
+        async with self._changed:
+            self._changed.notify_all()
+        if self.faults.take_one("lose_answers"):
+            return self._abort(request)
+        return web.Response(text=str(self._version))
+
+    def _abort(self, request: web.Request) -> web.Response:
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=500)
+
+    async def _save(self, _: web.Request) -> web.Response:
+        self._saved = dict(self._values)
+        return web.Response()
+
+    async def _restore(self, _: web.Request) -> web.Response:
+        """Goes back to the saved state, as a restored backup would."""
+        self._values = dict(self._saved)
+        async with self._changed:
+            self._changed.notify_all()
+        return web.Response()
+
+    async def _record(self, _: web.Request) -> web.Response:
+        return web.json_response({"calls": self.calls})
+
+
+def _respond(value: Value | None) -> web.Response:
+    if value is None:
+        return web.Response(status=404)
+    return web.Response(
+        body=value.data, headers={"X-Version": str(value.version)}
+    )
+
+
+def main() -> None:
+    """Runs the stand-in."""
+    arguments = host.make_parser("key-value service").parse_args()
+    host.run(Store().make_app(), arguments)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/up.py
@@ -0,0 +1,41 @@
+"""Leaves a whole system running for requests by hand."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+
+from standins import fleet
+from standins import users
+
+
+async def run(user: users.User) -> None:
+    """Runs a user's system until it is interrupted."""
+    async with fleet.Fleet(user.plan) as running:
+        for router in running.routers.values():
+            print(f"{router.name}: callers {router.url}, ", end="")
+            print(f"peers and operators {router.peer_url}")
+        print(f"key-value service: {running.kv.url}")
+        print(f"export AGATEDOCK_KEY_VALUE={running.kv.url}")
+        first = next(iter(running.routers.values()))
+        print(f"export AGATEDOCK_ROUTER={first.peer_url}")
+        print("interrupt to stop", flush=True)
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        await stop.wait()
+
+
+def main() -> None:
+    """Runs the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "user", nargs="?", default="kolanut", choices=users.USERS
+    )
+    asyncio.run(run(users.USERS[parser.parse_args().user]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/users.py
@@ -0,0 +1,141 @@
+"""The fleets and sessions of the two users, at today's sizes."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from standins import fleet
+
+
+@dataclasses.dataclass(frozen=True)
+class Chat:
+    """One turn of a chat; `again` repeats the chat at another router."""
+
+    request_id: str
+    account: str
+    work: str
+    chat: str
+    text: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """A non-idempotent request with an idempotency key.
+
+    Attributes:
+      repeats: How many times the caller sends it.
+    """
+
+    request_id: str
+    account: str
+    path: str
+    body: str
+    key: str
+    repeats: int = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Lookup:
+    """An idempotent request."""
+
+    request_id: str
+    account: str
+    path: str
+
+
+@dataclasses.dataclass(frozen=True)
+class User:
+    """A user's fleet and one session of it."""
+
+    name: str
+    model: str
+    service: str
+    plan: fleet.Plan
+    session: tuple[Chat | Order | Lookup, ...]
+
+
+def _make_plan(
+    domains: tuple[str, ...],
+    model: str,
+    service: str,
+    replicas: int,
+    works: dict[str, str],
+    accounts: tuple[str, ...],
+) -> fleet.Plan:
+    document = {
+        "models": [{"name": model}],
+        "services": [{"name": service}],
+        "works": works,
+        "accounts": list(accounts),
+        "exceptions": [
+            {
+                "id": "largest-account",
+                "match": {"account": accounts[0]},
+                "set": {"account_weight": 2.0},
+                "reason": "pays for twice the share",
+                "author": "operators",
+            }
+        ],
+    }
+    spread = lambda count: tuple(  # noqa: E731
+        domains[i % len(domains)] for i in range(count)
+    )
+    return fleet.Plan(
+        document=document,
+        routers=spread(3),
+        engines={model: spread(6)},
+        replicas={service: spread(replicas)},
+    )
+
+
+KOLANUT = User(
+    name="Kolanut Gifting",
+    model="santa-llm",
+    service="draw-api",
+    plan=_make_plan(
+        ("ikeja", "lekki", "yaba", "apapa"),
+        "santa-llm",
+        "draw-api",
+        4,
+        {"chat": "urgent", "guide": "normal", "tag": "low"},
+        tuple(f"office-{i}" for i in range(10)),
+    ),
+    session=(
+        Chat("guide-1", "office-0", "guide", "hunt-7", "plan a gift hunt"),
+        Chat("chat-1", "office-3", "chat", "wishes-2", "what would Ada like"),
+        Chat("chat-2", "office-3", "chat", "wishes-2", "and under 5000 naira"),
+        Chat(
+            "chat-3", "office-3", "chat", "wishes-2", "something for the desk"
+        ),
+        Chat("tag-1", "office-5", "tag", "", "tag: woven basket"),
+        Order("draw-1", "office-3", "/draws", '{"exchange": 7}', "draw-7"),
+        Order("draw-2", "office-5", "/draws", '{"exchange": 8}', "draw-8", 3),
+        Lookup("match-1", "office-3", "/matches/ada"),
+    ),
+)
+
+NILE_HUSKY = User(
+    name="Nile Husky Nutrition Labs",
+    model="ration-llm",
+    service="kennel-shop",
+    plan=_make_plan(
+        ("cairo-a", "cairo-b", "cairo-c"),
+        "ration-llm",
+        "kennel-shop",
+        3,
+        {"ration-plan": "urgent", "question": "normal", "label-check": "low"},
+        tuple(f"kennel-{i}" for i in range(10)),
+    ),
+    session=(
+        Chat("plan-1", "kennel-0", "ration-plan", "season-1", "log " * 400),
+        Chat("plan-2", "kennel-0", "ration-plan", "season-1", "race on Friday"),
+        Chat("ask-1", "kennel-4", "question", "bag-9", "how much per dog"),
+        Chat("ask-2", "kennel-4", "question", "bag-9", "and for puppies"),
+        Chat("label-1", "kennel-6", "label-check", "", "label: 30% protein"),
+        Order("order-1", "kennel-4", "/orders", '{"bags": 12}', "order-33"),
+        Lookup("stock-1", "kennel-4", "/stock/salmon"),
+        Lookup("price-1", "kennel-6", "/prices/salmon"),
+    ),
+)
+
+USERS = {"kolanut": KOLANUT, "nile-husky": NILE_HUSKY}
--- /dev/null
+++ b/standins/vmlist.py
@@ -0,0 +1,76 @@
+"""Stand-in for the platform's VM list.
+
+Rows are put over HTTP and show up after the fault switch `lag_ms`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from aiohttp import web
+
+from standins import host
+
+
+class Rows:
+    """The rows as they are and as they are shown."""
+
+    def __init__(self) -> None:
+        self.faults = host.Faults()
+        self._rows: dict[str, dict] = {}
+        self._shown: dict[str, dict] = {}
+        self._version = 0
+
+    def make_app(self) -> web.Application:
+        """Returns the application."""
+        app = web.Application()
+        app.router.add_get("/vms", self._list)
+        app.router.add_put("/vms/{name}", self._put)
+        app.router.add_delete("/vms/{name}", self._delete)
+        host.add_faults(app, self.faults)
+        return app
+
+    async def _list(self, request: web.Request) -> web.Response:
+        if self.faults.get("down"):
+            return web.Response(status=503)
+        etag = f'"{self._version}"'
+        if request.headers.get("If-None-Match") == etag:
+            return web.Response(status=304)
+        return web.Response(
+            text=json.dumps(list(self._shown.values())),
+            content_type="application/json",
+            headers={"ETag": etag},
+        )
+
+    async def _put(self, request: web.Request) -> web.Response:
+        self._rows[request.match_info["name"]] = await request.json()
+        self._show_later()
+        return web.Response()
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        self._rows.pop(request.match_info["name"], None)
+        self._show_later()
+        return web.Response()
+
+    def _show_later(self) -> None:
+        rows = dict(self._rows)
+        lag_s = self.faults.get_number("lag_ms") / 1000
+        if lag_s:
+            asyncio.get_running_loop().call_later(lag_s, self._show, rows)
+        else:
+            self._show(rows)
+
+    def _show(self, rows: dict[str, dict]) -> None:
+        self._shown = rows
+        self._version += 1
+
+
+def main() -> None:
+    """Runs the stand-in."""
+    arguments = host.make_parser("VM list").parse_args()
+    host.run(Rows().make_app(), arguments)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/test/__main__.py
@@ -0,0 +1,55 @@
+"""Runs the tests; the last line of the output is the verdict."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+def read_known_red() -> set[str]:
+    """Returns the ids of tests that are known to fail."""
+    lines = KNOWN_RED.read_text().splitlines()
+    return {
+        line.partition(":")[2].strip()
+        for line in lines
+        if line.startswith("test:")
+    }
+
+
+def flatten(suite: unittest.TestSuite) -> list[unittest.TestCase]:
+    """Returns the single tests of a suite."""
+    cases: list[unittest.TestCase] = []
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            cases += flatten(item)
+        else:
+            cases.append(item)
+    return cases
+
+
+def main(names: list[str]) -> int:
+    """Runs the tests of the named modules, or all; returns the exit code."""
+    loader = unittest.TestLoader()
+    if names:
+        found = loader.loadTestsFromNames([f"test.{name}" for name in names])
+    else:
+        found = loader.discover(str(ROOT / "test"), top_level_dir=str(ROOT))
+    red = read_known_red()
+    cases = [case for case in flatten(found) if case.id() not in red]
+    for name in sorted(red):
+        print(f"known red, passed over: {name}")
+    runner = unittest.TextTestRunner(stream=sys.stdout, verbosity=2)
+    outcome = runner.run(unittest.TestSuite(cases))
+    bad = {str(case) for case, _ in outcome.failures + outcome.errors}
+    failed = len(bad) + len(outcome.unexpectedSuccesses)
+    skipped = f", {len(outcome.skipped)} skipped" if outcome.skipped else ""
+    print(f"{outcome.testsRun - failed} passed, {failed} failed{skipped}")
+    return 1 if failed or not outcome.testsRun else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/test/test_demo.py
@@ -0,0 +1,28 @@
+"""Whole sessions of both users against their golden files."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from standins import demo
+from standins import users
+from test import helper
+
+
+class SessionTest(unittest.IsolatedAsyncioTestCase):
+    """Every request of a session through separate processes."""
+
+    async def _run(self, key: str) -> None:
+        outcome = await demo.run(users.USERS[key])
+        self.assertEqual(outcome.faults, [])
+        text = "".join(
+            json.dumps(row, sort_keys=True) + "\n" for row in outcome.transcript
+        )
+        helper.compare_golden(self, f"{key}.jsonl", text)
+
+    async def test_kolanut(self):
+        await self._run("kolanut")
+
+    async def test_nile_husky(self):
+        await self._run("nile-husky")
