Prove the promises under faults with separate processes

Cause: nothing showed that the promises hold while processes are killed, frozen or cut off and the platform fails.

Change: 21 tests with kills, SIGSTOP, cut and crossed streams, lost answers, outages, racing operators, restored services and replaced routers; the evidence is the stand-ins' own record. Found by them: expected waits were computed from the tokens that callers ask for, so a request that would have run within its target was refused during a shutdown (a wait of 26 s was expected where 2 s were needed). The gate now learns what share of the estimate requests really use.

Ruled out: the refusal did not come from the shutdown itself; it was given at admission, with not_run true, before any router left.

--- a/agatedock/gate.py
+++ b/agatedock/gate.py
@@ -16,6 +16,9 @@
 # Work rate of an engine before it has finished anything.
 START_TOKENS_PER_S = 400.0
 PREFILL_TOKENS_PER_S = 5000.0
+# Share of the estimated work that requests turn out to need, before any
+# has finished: callers ask for more tokens than they use.
+START_ACTUAL_SHARE = 0.5
 # How far an engine's load reports may lag.
 REPORT_LAG_S = 1.0
 FAILURES_TO_EJECT = 2
@@ -98,6 +101,7 @@
         self.open_from = math.inf
         self.draining = False
         self.tokens_per_s = START_TOKENS_PER_S
+        self.actual_share = START_ACTUAL_SHARE
         self.shed = [0.0] * len(floor_shares)
         self._offered = [0] * len(floor_shares)
         self._refused = [0] * len(floor_shares)
@@ -197,7 +201,7 @@
         turn = (
             sum(running) / len(running) / (len(running) + 1) if running else 0
         )
-        return (ahead + turn) / self.tokens_per_s
+        return (ahead + turn) * self.actual_share / self.tokens_per_s
 
     def enqueue(self, call: calls.ChatCall, ticket: Any) -> rankqueue.Waiting:
         """Queues a request that was told to wait."""
@@ -227,6 +231,8 @@
             # All requests on the engine share its work rate.
             sample = actual_tokens / elapsed_s * (len(self.runs) + 1)
             self.tokens_per_s += SMOOTHING * (sample - self.tokens_per_s)
+            share = actual_tokens / run.call.work_tokens
+            self.actual_share += SMOOTHING * (share - self.actual_share)
 
     def pop_ready(
         self, limits: Limits, settled: bool, now: float
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -44,6 +44,11 @@
         """Returns a router's URL for peers and operators."""
         return f"http://127.0.0.1:{self.ports['peer']}"
 
+    @property
+    def alive(self) -> bool:
+        """Tells whether the process has not ended."""
+        return self.process.returncode is None
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to this process."""
         self.process.send_signal(number)
@@ -309,10 +314,14 @@
                     if e["open"]
                 ]
                 agreed = all(
-                    len(dump["members"]) == len(self.routers)
+                    _list_alive(dump) == sorted(self.routers)
                     and all(u["home"] for u in dump["upstreams"])
                     for dump in dumps
                 )
                 if agreed and len(names) == len(set(names)) == engines:
                     return
                 await asyncio.sleep(0.1)
+
+
+def _list_alive(dump: dict[str, Any]) -> list[str]:
+    return [m["name"] for m in dump["members"] if m["status"] == "alive"]
--- a/test/helper.py
+++ b/test/helper.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import dataclasses
+import json
 import os
 import pathlib
+import zlib
 
 import hypothesis
 
+from standins import fleet
+
 GOLDEN = pathlib.Path(__file__).parent / "golden"
 EXAMPLES = int(os.environ.get("AGATEDOCK_EXAMPLES", "100"))
 
@@ -30,3 +35,138 @@
     if os.environ.get("AGATEDOCK_GOLDEN") == "write":
         path.write_text(text, encoding="utf-8")
     case.assertEqual(path.read_text(encoding="utf-8"), text)
+
+
+def make_plan(
+    routers: int = 3,
+    engines: int = 3,
+    replicas: int = 2,
+    settings: dict | None = None,
+    document: dict | None = None,
+    engine_options: tuple[str, ...] = ("--step-ms", "20"),
+) -> fleet.Plan:
+    """Returns a small fleet with short quiet times."""
+    domains = ("a", "b", "c")
+    spread = [domains[i % len(domains)] for i in range(64)]
+    return fleet.Plan(
+        document={
+            "models": [{"name": "llm"}],
+            "services": [{"name": "shop"}],
+            "works": {"plan": "urgent", "ask": "normal", "tag": "low"},
+            **(document or {}),
+        },
+        routers=tuple(spread[:routers]),
+        engines={"llm": tuple(spread[:engines])},
+        replicas={"shop": tuple(spread[:replicas])},
+        engine_options=engine_options,
+        settings={"home": {"quiet_ms": 1000}, **(settings or {})},
+    )
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    raw: bytes
+
+    @property
+    def json(self) -> dict:
+        """Returns the body as JSON."""
+        return json.loads(self.raw)
+
+    @property
+    def whole(self) -> bool:
+        """Tells whether a streamed answer came to its end mark."""
+        return self.status == 200 and self.raw.endswith(b"data: [DONE]\n\n")
+
+    @property
+    def error(self) -> dict:
+        """Returns the error of a refusal or of a broken stream."""
+        if self.status == 200:
+            tail = self.raw.rpartition(b"event: error\ndata: ")[2]
+            return json.loads(tail)["error"]
+        return self.json["error"]
+
+    def tokens(self) -> list[str]:
+        """Returns the tokens of a streamed answer in order."""
+        texts = []
+        for event in self.raw.split(b"\n\n"):
+            data = event.partition(b"data: ")[2]
+            if event.startswith(b"id: ") and b'"content"' in data:
+                choice = json.loads(data)["choices"][0]
+                texts.append(choice["delta"]["content"])
+        return texts
+
+
+class Caller:
+    """A caller of a running fleet."""
+
+    def __init__(self, running: fleet.Fleet):
+        self._fleet = running
+
+    async def send(
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str] | None = None,
+        data: bytes | str | None = None,
+    ) -> Answer:
+        """Sends any request."""
+        headers = {"X-Client-Account": "small", **(headers or {})}
+        async with self._fleet.http.request(
+            method, url, headers=headers, data=data
+        ) as response:
+            raw = await response.read()
+            return Answer(response.status, dict(response.headers), raw)
+
+    async def chat(
+        self,
+        router: fleet.Process,
+        chat: str,
+        tokens: int = 16,
+        text: str = "hello",
+        work: str = "ask",
+        **headers: str,
+    ) -> Answer:
+        """Sends one streamed chat turn."""
+        body = {
+            "model": "llm",
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": 4 * tokens,
+            "answer_tokens": tokens,
+            "stream": True,
+        }
+        named = {"X-Chat-Id": chat, "X-Work": work}
+        named.update({k.replace("_", "-"): v for k, v in headers.items()})
+        return await self.send(
+            "POST",
+            f"{router.url}/v1/chat/completions",
+            named,
+            json.dumps(body),
+        )
+
+    async def order(
+        self, router: fleet.Process, body: str, key: str = ""
+    ) -> Answer:
+        """Sends one order, keyed or not."""
+        headers = {"Idempotency-Key": key} if key else {}
+        return await self.send(
+            "POST", f"{router.url}/svc/shop/orders", headers, body
+        )
+
+    async def count_runs(self, body: str) -> int:
+        """Returns how often an order ran by the replicas' own records."""
+        count = 0
+        for process in self._fleet.upstreams.values():
+            if process.name.startswith("shop") and process.alive:
+                runs = await self._fleet.read(process)
+                count += sum(run["body"] == body for run in runs)
+        return count
+
+
+def expect_tokens(text: str, count: int) -> list[str]:
+    """Returns the whole answer of an engine stand-in to a message."""
+    word = f"w{zlib.crc32(text.encode()) % 1000:03d}-"
+    return [f"{word}{index} " for index in range(count)]
--- /dev/null
+++ b/test/test_faults.py
@@ -0,0 +1,403 @@
+"""Promises of the brief under faults, with separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import unittest
+
+from standins import fleet
+from test import helper
+
+LONG = 100
+
+
+async def find_home(running: fleet.Fleet, engine: str) -> fleet.Process:
+    """Returns the router that is the home of an engine."""
+    for router in running.routers.values():
+        if router.alive:
+            for row in (await running.dump(router))["upstreams"]:
+                if row["name"] == engine:
+                    return running.routers[row["home"]]
+    raise AssertionError(engine)
+
+
+class ChatTest(unittest.IsolatedAsyncioTestCase):
+    """Whole answers while engines and routers fail."""
+
+    async def test_cut_stream_is_resumed_at_its_offset(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            engine = running.upstreams["llm-0"]
+            await running.set_faults(engine, cut_after=20)
+            router = running.routers["router-0"]
+            answer = await caller.chat(router, "c", LONG)
+            self.assertTrue(answer.whole)
+            self.assertEqual(
+                answer.tokens(), helper.expect_tokens("hello", LONG)
+            )
+            # The engine still had the request, so it ran only once.
+            runs = (await running.read(engine))["runs"]
+            self.assertEqual(len(runs), 1)
+
+    async def test_killed_engine_is_replaced_without_gap_or_repeat(self):
+        async with fleet.Fleet(helper.make_plan()) as running:
+            caller = helper.Caller(running)
+            router = running.routers["router-0"]
+            first = await caller.chat(router, "c")
+            engine = first.headers["X-Served-By"]
+            turn = asyncio.create_task(caller.chat(router, "c", LONG))
+            await asyncio.sleep(0.7)
+            await running.upstreams[engine].kill()
+            answer = await turn
+            self.assertTrue(answer.whole, answer.raw[-300:])
+            self.assertEqual(
+                answer.tokens(), helper.expect_tokens("hello", LONG)
+            )
+
+    async def test_crossed_answer_never_reaches_the_caller(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            engine = running.upstreams["llm-0"]
+            await running.set_faults(engine, cross=1)
+            router = running.routers["router-1"]
+            answer = await caller.chat(router, "c")
+            self.assertTrue(answer.whole)
+            self.assertNotIn(b"of-another-request", answer.raw)
+            self.assertEqual(answer.tokens(), helper.expect_tokens("hello", 16))
+
+    async def test_killed_home_is_replaced_without_gap_or_repeat(self):
+        async with fleet.Fleet(helper.make_plan()) as running:
+            caller = helper.Caller(running)
+            entry = running.routers["router-0"]
+            chat, home = "", entry
+            for index in range(50):
+                chat = f"c{index}"
+                answer = await caller.chat(entry, chat, 1)
+                home = await find_home(running, answer.headers["X-Served-By"])
+                if home is not entry:
+                    break
+            turn = asyncio.create_task(caller.chat(entry, chat, LONG))
+            await asyncio.sleep(0.7)
+            await home.kill()
+            answer = await turn
+            self.assertTrue(answer.whole, answer.raw[-300:])
+            self.assertEqual(
+                answer.tokens(), helper.expect_tokens("hello", LONG)
+            )
+
+    async def test_answers_are_whole_while_a_home_is_frozen(self):
+        settings = {"limits": {"upstream_silence_ms": 1000}}
+        plan = helper.make_plan(settings=settings)
+        async with fleet.Fleet(plan) as running:
+            caller = helper.Caller(running)
+            entry, frozen = (running.routers[f"router-{i}"] for i in (0, 1))
+            turns = [
+                asyncio.create_task(caller.chat(entry, f"c{i}", LONG))
+                for i in range(9)
+            ]
+            await asyncio.sleep(0.7)
+            frozen.signal(signal.SIGSTOP)
+            answers = await asyncio.gather(*turns)
+            frozen.signal(signal.SIGCONT)
+            for answer in answers:
+                self.assertTrue(answer.whole, answer.raw[-300:])
+                self.assertEqual(
+                    answer.tokens(), helper.expect_tokens("hello", LONG)
+                )
+
+
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    """Non-idempotent requests run at most once."""
+
+    async def test_lost_answer_is_unknown_and_never_sent_again(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            for name in ("shop-0", "shop-1"):
+                await running.set_faults(
+                    running.upstreams[name], drop_answers=1
+                )
+            for key in ("", "k1"):
+                body = f"order {key}"
+                for router in running.routers.values():
+                    answer = await caller.order(router, body, key)
+                    if not key:
+                        break
+                    self.assertFalse(answer.error["not_run"])
+                self.assertFalse(answer.error["not_run"])
+                self.assertEqual(await caller.count_runs(body), 1)
+
+    async def test_lost_answer_of_a_put_is_not_sent_again(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            for name in ("shop-0", "shop-1"):
+                await running.set_faults(
+                    running.upstreams[name], drop_answers=2
+                )
+            router = running.routers["router-0"]
+            answer = await caller.send(
+                "PUT", f"{router.url}/svc/shop/orders/1", data="put"
+            )
+            self.assertEqual(answer.error["code"], "outcome_unknown")
+            self.assertEqual(await caller.count_runs("put"), 1)
+
+    async def test_cut_or_crossed_answer_is_unknown(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            router = running.routers["router-0"]
+            for fault in ("cut_answers", "cross_answers"):
+                for name in ("shop-0", "shop-1"):
+                    await running.set_faults(
+                        running.upstreams[name], **{fault: 1}
+                    )
+                answer = await caller.order(router, fault)
+                self.assertEqual(answer.error["code"], "outcome_unknown")
+                self.assertEqual(await caller.count_runs(fault), 1)
+                for name in ("shop-0", "shop-1"):
+                    await running.set_faults(
+                        running.upstreams[name], **{fault: 0}
+                    )
+
+    async def test_outage_refuses_keyed_orders_and_runs_nothing(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            router, other = (running.routers[f"router-{i}"] for i in (0, 1))
+            await running.set_faults(running.kv, down=True)
+            keyed = await caller.order(router, "keyed", "k1")
+            self.assertEqual(keyed.error["code"], "claims_unavailable")
+            self.assertTrue(keyed.error["not_run"])
+            self.assertGreater(keyed.error["retry_after_ms"], 0)
+            self.assertEqual(await caller.count_runs("keyed"), 0)
+            unkeyed = await caller.order(router, "unkeyed")
+            self.assertEqual(unkeyed.status, 200)
+            await running.set_faults(running.kv, down=False)
+            again = await caller.order(other, "keyed", "k1")
+            self.assertEqual(again.status, 200)
+            self.assertEqual(await caller.count_runs("keyed"), 1)
+            self.assertEqual(await caller.count_runs("unkeyed"), 1)
+
+    async def test_claim_with_a_lost_answer_is_recognised(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            router, other = (running.routers[f"router-{i}"] for i in (0, 1))
+            await running.set_faults(running.kv, lose_answers=1)
+            answer = await caller.order(router, "order", "k1")
+            self.assertEqual(answer.status, 200)
+            again = await caller.order(other, "order", "k1")
+            self.assertEqual(again.status, 200)
+            self.assertEqual(again.headers["X-Idempotent-Replay"], "true")
+            self.assertEqual(again.raw, answer.raw)
+            self.assertEqual(await caller.count_runs("order"), 1)
+
+    async def test_repeat_after_a_killed_router_is_not_sent(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            router, other = (running.routers[f"router-{i}"] for i in (0, 1))
+            for name in ("shop-0", "shop-1"):
+                await running.set_faults(running.upstreams[name], slow_ms=800)
+            turn = asyncio.create_task(caller.order(router, "order", "k1"))
+            await asyncio.sleep(0.4)
+            await router.kill()
+            await asyncio.gather(turn, return_exceptions=True)
+            again = await caller.order(other, "order", "k1")
+            self.assertEqual(again.error["code"], "in_progress")
+            self.assertFalse(again.error["not_run"])
+            await asyncio.sleep(0.8)
+            self.assertEqual(await caller.count_runs("order"), 1)
+
+    async def test_concurrent_repeats_run_once(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            routers = list(running.routers.values())
+            turns = [
+                caller.order(routers[i % 3], "order", "k1") for i in range(12)
+            ]
+            answers = await asyncio.gather(*turns)
+            statuses = {answer.status for answer in answers}
+            self.assertIn(200, statuses)
+            self.assertLessEqual(statuses, {200, 409})
+            self.assertEqual(await caller.count_runs("order"), 1)
+
+    async def test_dead_replica_is_passed_over(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            await running.upstreams["shop-0"].kill()
+            router = running.routers["router-0"]
+            for index in range(6):
+                answer = await caller.order(router, f"order {index}")
+                self.assertEqual(answer.status, 200)
+                runs = await caller.count_runs(f"order {index}")
+                self.assertEqual(runs, 1)
+
+
+class LeavingTest(unittest.IsolatedAsyncioTestCase):
+    """Upstreams and routers that leave."""
+
+    async def _drive(self, running: fleet.Fleet, seconds: float) -> list:
+        """Sends chats and orders through all routers for a while."""
+        caller = helper.Caller(running)
+        routers = [r for r in running.routers.values() if r.alive]
+        answers = []
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        index = 0
+        while loop.time() < until:
+            router = routers[index % len(routers)]
+            answers.append(await caller.chat(router, f"c{index % 20}", 4))
+            answers.append(await caller.order(router, f"o{index}"))
+            index += 1
+        return answers
+
+    async def test_leaving_upstreams_get_nothing_after_two_seconds(self):
+        async with fleet.Fleet(helper.make_plan()) as running:
+            await self._drive(running, 1)
+            engine, replica = (
+                running.upstreams[n] for n in ("llm-0", "shop-0")
+            )
+            # The engine says itself that it leaves; the list lags behind.
+            await running.set_faults(running.vms, lag_ms=60_000)
+            await running.set_faults(engine, draining=True)
+            await running.set_faults(running.vms, lag_ms=0)
+            await running.mark_leaving("shop-0")
+            await self._drive(running, 2)
+            before = len((await running.read(engine))["runs"])
+            before += len(await running.read(replica))
+            answers = await self._drive(running, 2)
+            after = len((await running.read(engine))["runs"])
+            after += len(await running.read(replica))
+            self.assertEqual(after, before)
+            for answer in answers:
+                self.assertEqual(answer.status, 200)
+
+    async def test_shutdown_cuts_off_no_request(self):
+        document = {"defaults": {"engine_slots": 2}}
+        plan = helper.make_plan(routers=4, document=document)
+        async with fleet.Fleet(plan) as running:
+            caller = helper.Caller(running)
+            routers = list(running.routers.values())
+            turns = [
+                asyncio.create_task(
+                    caller.chat(routers[i % 4], f"c{i}", LONG, work="tag")
+                )
+                for i in range(12)
+            ]
+            await asyncio.sleep(0.6)
+            leaving = routers[:2]
+            for router in leaving:
+                router.signal(signal.SIGTERM)
+            answers = await asyncio.gather(*turns)
+            for answer in answers:
+                self.assertTrue(answer.whole, answer.raw[-300:])
+                self.assertEqual(
+                    answer.tokens(), helper.expect_tokens("hello", LONG)
+                )
+            for router in leaving:
+                self.assertEqual(await router.wait(), 0)
+
+
+class ConfigTest(unittest.IsolatedAsyncioTestCase):
+    """Accepted configurations stay in force everywhere."""
+
+    async def _revisions(self, running: fleet.Fleet) -> set[int]:
+        return {
+            (await running.dump(r))["config"]["revision"]
+            for r in running.routers.values()
+            if r.alive
+        }
+
+    async def _set(self, running: fleet.Fleet, value: str) -> tuple[int, str]:
+        return await running.operate(
+            "config", "set", "load_bound", value, "--reason", "test"
+        )
+
+    async def test_change_outlives_the_service_and_reaches_new_routers(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            code, output = await self._set(running, "1.7")
+            self.assertEqual(code, 0, output)
+            await running.set_faults(running.kv, down=True)
+            await running.start_router("router-9", "a")
+            await asyncio.sleep(1)
+            self.assertEqual(await self._revisions(running), {2})
+            code, output = await self._set(running, "1.8")
+            self.assertEqual(code, 4, output)
+
+    async def test_restored_service_is_noticed_and_not_followed(self):
+        settings = {"platform": {"config_poll_ms": 500}}
+        plan = helper.make_plan(engines=1, settings=settings)
+        async with fleet.Fleet(plan) as running:
+            await running.http.post(f"{running.kv.url}/save")
+            code, output = await self._set(running, "1.7")
+            self.assertEqual(code, 0, output)
+            await running.http.post(f"{running.kv.url}/restore")
+            await asyncio.sleep(3)
+            self.assertEqual(await self._revisions(running), {2})
+            dump = await running.dump(running.routers["router-0"])
+            self.assertTrue(dump["config"]["alarms"])
+            code, output = await self._set(running, "1.8")
+            self.assertEqual(code, 3, output)
+            self.assertIn("older state", output)
+            code, output = await running.operate(
+                "config", "restore", "--reason", "backup was old"
+            )
+            self.assertEqual(code, 0, output)
+            self.assertEqual(await self._revisions(running), {3})
+
+    async def test_edit_with_a_lost_answer_is_accepted_once(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            # The first write keeps the history, the second is the edit.
+            await running.set_faults(running.kv, lose_answers=1)
+            code, output = await self._set(running, "1.6")
+            self.assertIn(code, (0, 4), output)
+            await running.set_faults(running.kv, lose_answers=0)
+            code, output = await self._set(running, "1.7")
+            self.assertEqual(code, 0, output)
+
+    async def test_racing_operators_get_a_readable_conflict(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            outcomes = await asyncio.gather(
+                *(self._set(running, f"1.{i}") for i in range(1, 6))
+            )
+            accepted = [output for code, output in outcomes if code == 0]
+            for code, output in outcomes:
+                self.assertIn(code, (0, 3), output)
+                if code == 3:
+                    self.assertIn("another operator was first", output)
+            self.assertEqual(
+                await self._revisions(running), {1 + len(accepted)}
+            )
+            code, output = await running.operate("config", "history", "--json")
+            self.assertEqual(output.count('"revision"'), 1 + len(accepted))
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    """Recovery of the whole fleet."""
+
+    async def test_all_routers_replaced_one_after_another(self):
+        async with fleet.Fleet(helper.make_plan()) as running:
+            caller = helper.Caller(running)
+            for index in range(3):
+                new = await running.start_router(f"new-{index}", "abc"[index])
+                old = running.routers[f"router-{index}"]
+                turn = asyncio.create_task(caller.chat(old, f"c{index}", LONG))
+                await asyncio.sleep(0.4)
+                old.signal(signal.SIGTERM)
+                self.assertTrue((await turn).whole)
+                self.assertEqual(await old.wait(), 0)
+                answer = await caller.chat(new, f"c{index}")
+                self.assertTrue(answer.whole, answer.raw)
+
+    async def test_all_routers_killed_at_once(self):
+        async with fleet.Fleet(helper.make_plan()) as running:
+            caller = helper.Caller(running)
+            for router in list(running.routers.values()):
+                await router.kill()
+            running.routers.clear()
+            for index in range(3):
+                await running.start_router(f"again-{index}", "abc"[index])
+            await running.wait_open()
+            for router in running.routers.values():
+                self.assertTrue((await caller.chat(router, "c")).whole)
+
+
+if __name__ == "__main__":
+    unittest.main()
