--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,9 @@
 
 clean:
 	rm -rf $(VENV) out build *.egg-info
+
+measure: $(READY)  ## The decisions, against baselines; about 20 minutes.
+	$(BIN)/python -m bench.measure
+
+slopes: $(READY)  ## The slopes behind docs/CAPACITY.md; under 10 minutes.
+	$(BIN)/python -m bench.slopes
--- a/agatedock/answers.py
+++ b/agatedock/answers.py
@@ -6,6 +6,8 @@
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
+# Sent by a home to the entry router, never to a caller.
+PREEMPTED_EVENT = b"data: [PREEMPTED]"
 EVENT_MAX_BYTES = 1 << 20
 
 
@@ -13,6 +15,10 @@
     """The stream does not continue the answer of this request."""
 
 
+class Preempted(Exception):  # noqa: N818
+    """The engine gave the request's slot to more urgent work."""
+
+
 class Checker:
     """Follows one answer through all the streams that carry parts of it.
 
@@ -33,8 +39,12 @@
 
         Raises:
           BrokenAnswer: An event is of another request or out of order.
+          Preempted: The rest of the answer has to be asked for again.
         """
         data = self._rest + chunk
+        if data.endswith(PREEMPTED_EVENT + EVENT_END):
+            # What came before the mark is lost and made again.
+            raise Preempted
         end = data.rfind(EVENT_END)
         if end < 0:
             if len(data) > EVENT_MAX_BYTES:
--- a/agatedock/calls.py
+++ b/agatedock/calls.py
@@ -7,6 +7,15 @@
 
 import msgspec
 
+# An engine computes about this many prompt tokens in the time in which it
+# generates one.
+PROMPT_TOKENS_PER_WORK = 20
+
+
+def weigh(prompt_tokens: int, answer_tokens: int) -> int:
+    """Returns the work of a request in generated tokens."""
+    return prompt_tokens // PROMPT_TOKENS_PER_WORK + answer_tokens
+
 
 @dataclasses.dataclass(frozen=True)
 class ChatCall:
@@ -14,7 +23,8 @@
 
     Attributes:
       rank: Index of the rank, 0 most urgent.
-      work_tokens: Estimated work: prompt plus largest answer.
+      prompt_tokens: Estimated length of the prompt.
+      answer_tokens: Largest length of the answer.
       weight: Fair share weight of the account.
       chat: Key that is the same for all turns of a chat.
       engine: Engine asked for.
@@ -22,6 +32,7 @@
       may_divert: Whether a full engine may name another one.
       excluded: Engines that already turned the request away.
       offset: Events of the answer that the caller already has.
+      preemptions: How often the request gave way to more urgent work.
       deadline: Monotonic time in seconds on this process at which the
         rank's target for the first token passes.
     """
@@ -30,7 +41,8 @@
     account: str
     model: str
     rank: int
-    work_tokens: int
+    prompt_tokens: int
+    answer_tokens: int
     weight: float
     chat: str
     engine: str
@@ -38,9 +50,19 @@
     may_divert: bool
     excluded: tuple[str, ...]
     offset: int
+    preemptions: int
     deadline: float
     body: bytes
 
+    @property
+    def work_tokens(self) -> int:
+        """Returns the largest work in generated tokens."""
+        return self.work_of(self.answer_tokens)
+
+    def work_of(self, answer_tokens: int) -> int:
+        """Returns the work of an answer of some length."""
+        return weigh(self.prompt_tokens, answer_tokens)
+
 
 class Outcome(enum.StrEnum):
     """Ways in which a home turns a request away."""
@@ -79,7 +101,8 @@
     account: str
     model: str
     rank: int
-    work_tokens: int
+    prompt_tokens: int
+    answer_tokens: int
     weight: float
     chat: str
     engine: str
@@ -87,6 +110,7 @@
     may_divert: bool
     excluded: tuple[str, ...]
     offset: int
+    preemptions: int
     left_ms: int
 
 
--- a/agatedock/chat.py
+++ b/agatedock/chat.py
@@ -35,6 +35,7 @@
 NOT_HOME_PAUSE_S = 0.1
 RESUMES_MAX = 5
 RESUME_PAUSE_S = 0.2
+PREEMPTED_WAIT_S = 60.0
 CHARS_PER_TOKEN = 4
 DEFAULT_ANSWER_TOKENS = 256
 NO_UPSTREAM_RETRY_MS = 2000
@@ -79,7 +80,8 @@
     body: dict
     model: str
     rank: int
-    work_tokens: int
+    prompt_tokens: int
+    answer_tokens: int
     weight: float
     chat: str
     deadline: float
@@ -87,6 +89,7 @@
     checker: answers.Checker
     first: str = ""
     maybe_run: bool = False
+    preemptions: int = 0
     excluded: list[str] = dataclasses.field(default_factory=list)
 
     def make_call(self, engine: str) -> calls.ChatCall:
@@ -103,7 +106,8 @@
             account=self.caller.account,
             model=self.model,
             rank=self.rank,
-            work_tokens=self.work_tokens,
+            prompt_tokens=self.prompt_tokens,
+            answer_tokens=self.answer_tokens,
             weight=self.weight,
             chat=self.chat,
             engine=engine,
@@ -111,6 +115,7 @@
             may_divert=self.may_divert,
             excluded=tuple(self.excluded),
             offset=self.checker.events,
+            preemptions=self.preemptions,
             deadline=self.deadline,
             body=json.dumps(body).encode(),
         )
@@ -178,7 +183,8 @@
             body=wanted.model_dump(exclude={"stream"}),
             model=wanted.model,
             rank=rank,
-            work_tokens=_estimate_work(wanted),
+            prompt_tokens=_estimate_prompt(wanted),
+            answer_tokens=wanted.max_tokens,
             weight=1.0,
             chat=_make_chat_key(caller, wanted),
             deadline=now + document.ranks[rank].first_token_ms / 1000,
@@ -188,18 +194,19 @@
         plan.weight = self._setting("account_weight", plan)
         plan.may_divert = self._setting("placement", plan) == "bounded"
         most = self._setting("work_max_tokens", plan)
-        if plan.work_tokens > most:
+        if plan.prompt_tokens + plan.answer_tokens > most:
             raise errors.Refusal(
                 errors.Code.TOO_LARGE,
-                f"work of {plan.work_tokens} tokens; at most {most}",
+                f"prompt of about {plan.prompt_tokens} and answer of "
+                f"{plan.answer_tokens} tokens; together at most {most}",
             )
         return plan
 
     def _shed(self, plan: Plan, now: float) -> None:
         """Refuses at once what the homes have no room for."""
         demand = self._demands[plan.rank]
-        work = plan.work_tokens / plan.weight
-        demand.add(plan.caller.account, work, now)
+        work = calls.weigh(plan.prompt_tokens, plan.answer_tokens)
+        demand.add(plan.caller.account, work / plan.weight, now)
         shed = self._shed_share(plan.model, plan.rank, now)
         share = demand.refuse_share(plan.caller.account, shed, now)
         if self._random.random() < share:
@@ -315,6 +322,7 @@
           errors.Refusal: The answer could not be completed.
         """
         for _ in range(RESUMES_MAX):
+            preempted = False
             problem = "ended without the end mark"
             plan.maybe_run = True
             try:
@@ -322,6 +330,8 @@
                     whole = plan.checker.feed(chunk)
                     if whole:
                         yield whole
+            except answers.Preempted:
+                preempted = True
             except (
                 answers.BrokenAnswer,
                 aiohttp.ClientError,
@@ -331,11 +341,23 @@
                 problem = repr(error)
             if plan.checker.done:
                 return
-            stream = await self._resume(plan, stream, problem)
+            if preempted:
+                stream = await self._requeue(plan, stream)
+            else:
+                stream = await self._resume(plan, stream, problem)
         raise errors.Refusal(
             errors.Code.INTERRUPTED, "answer cut too often", not_run=False
         )
 
+    async def _requeue(self, plan: Plan, stream: relay.Stream) -> relay.Stream:
+        """Waits for the rest of an answer that gave way to urgent work."""
+        plan.preemptions += 1
+        plan.checker.restart()
+        plan.excluded.clear()
+        plan.deadline = time.monotonic() + PREEMPTED_WAIT_S
+        self._note(plan, "requeue", stream.engine, f"at {plan.checker.events}")
+        return await self._reopen(plan)
+
     async def _resume(
         self, plan: Plan, stream: relay.Stream, problem: str
     ) -> relay.Stream:
@@ -364,12 +386,15 @@
         plan.deadline = time.monotonic() + self._silence_s()
         plan.excluded.clear()
         await asyncio.sleep(RESUME_PAUSE_S)
+        return await self._reopen(plan)
+
+    async def _reopen(self, plan: Plan) -> relay.Stream:
         try:
             return await self._open(plan)
         except errors.Refusal as refusal:
             raise errors.Refusal(
                 errors.Code.INTERRUPTED,
-                f"answer cut after {offset} events: {refusal}",
+                f"answer cut after {plan.checker.events} events: {refusal}",
                 not_run=False,
                 retry_after_ms=refusal.retry_after_ms,
             ) from refusal
@@ -448,9 +473,9 @@
         raise errors.Refusal(errors.Code.BAD_REQUEST, findings) from None
 
 
-def _estimate_work(wanted: ChatRequest) -> int:
+def _estimate_prompt(wanted: ChatRequest) -> int:
     chars = sum(len(message.content) for message in wanted.messages)
-    return chars // CHARS_PER_TOKEN + wanted.max_tokens
+    return chars // CHARS_PER_TOKEN
 
 
 def _make_chat_key(caller: intake.Caller, wanted: ChatRequest) -> str:
--- a/agatedock/fleet.py
+++ b/agatedock/fleet.py
@@ -32,7 +32,7 @@
       engine_slots: Most requests that one engine runs at once.
       service_slots: Most requests that one router runs on one replica.
       account_weight: Share of an account beside others of its rank.
-      work_max_tokens: Largest estimated work of one request.
+      work_max_tokens: Largest prompt and answer of one request together.
       retry_ratio: Retries allowed for each first try.
       claim_ttl_ms: How long the answer to a keyed request is kept.
       placement: Placement strategy plug-in.
--- a/agatedock/gate.py
+++ b/agatedock/gate.py
@@ -27,6 +27,8 @@
 # Requests without a prefix in the engine's cache leave this share of the
 # bound to chats that return.
 NEW_CHAT_SHARE = 0.9
+# A request gives way at most this often, so that it ends some time.
+PREEMPTIONS_MAX = 2
 SHED_STEP = 0.5
 SHED_DECAY = 0.8
 SHED_REFUSED_SHARE = 0.05
@@ -38,6 +40,7 @@
 
     RUN = "run"
     WAIT = "wait"
+    PREEMPT = "preempt"
     DIVERT = "divert"
     REFUSE = "refuse"
 
@@ -84,10 +87,12 @@
 
     Attributes:
       started: Monotonic time in seconds at which it was sent.
+      preempted: True once it has been told to give way.
     """
 
     call: calls.ChatCall
     started: float
+    preempted: bool = False
 
 
 class Gate:
@@ -171,11 +176,14 @@
             kept = limits.top - math.ceil(limits.top * NEW_CHAT_SHARE)
         if room > kept and not len(self.queue):
             return Decision(Choice.RUN, "room on the engine")
+        full = self.load() >= limits.slots
+        if full and self.choose_victim(call.rank, limits) is not None:
+            return Decision(Choice.PREEMPT, "takes back a slot of its floor")
         wait_s = self.expect_wait_s(call)
         saved_s = cached_tokens / PREFILL_TOKENS_PER_S
         if can_divert and wait_s > saved_s:
             return Decision(Choice.DIVERT, "another engine is sooner", wait_s)
-        if now + wait_s > call.deadline:
+        if not call.offset and now + wait_s > call.deadline:
             return self._turn_away(
                 call, False, "target would be missed", wait_s
             )
@@ -213,8 +221,10 @@
             self.queue.lines[waiting.call.rank].remove(waiting)
             self._refused[waiting.call.rank] += 1
 
-    def start(self, call: calls.ChatCall, now: float) -> None:
+    def start(self, call: calls.ChatCall, now: float, *, queued: bool) -> None:
         """Counts a request as sent; must precede the sending."""
+        if not queued:
+            self.queue.lines[call.rank].start(call)
         self.runs[call.request_id] = Run(call, now)
         self._sent_at.append(now)
         self._note_own(now)
@@ -225,15 +235,40 @@
         if run is None:
             return
         self._note_own(now)
-        self.queue.lines[run.call.rank].charge(run.call, actual_tokens)
+        work = run.call.work_of(actual_tokens)
+        self.queue.lines[run.call.rank].charge(run.call, work)
         elapsed_s = max(now - run.started, 0.001)
         if actual_tokens:
             # All requests on the engine share its work rate.
-            sample = actual_tokens / elapsed_s * (len(self.runs) + 1)
+            sample = work / elapsed_s * (len(self.runs) + 1)
             self.tokens_per_s += SMOOTHING * (sample - self.tokens_per_s)
-            share = actual_tokens / run.call.work_tokens
+            share = work / max(1, run.call.work_tokens)
             self.actual_share += SMOOTHING * (share - self.actual_share)
 
+    def choose_victim(self, rank: int, limits: Limits) -> Run | None:
+        """Returns the run that gives its slot to a rank below its floor.
+
+        Floors are lent while their rank needs less; this takes one back. Of
+        the least urgent runs it is the latest, which has the least to lose.
+        """
+        running = self.running_by_rank()
+        stopping = sum(run.preempted for run in self.runs.values())
+        running[rank] += stopping
+        if not self.queue.is_below_floor(rank, running, limits.slots):
+            return None
+        candidates = [
+            run
+            for run in self.runs.values()
+            if run.call.rank > rank
+            and not run.preempted
+            and run.call.preemptions < PREEMPTIONS_MAX
+        ]
+        return max(
+            candidates,
+            key=lambda run: (run.call.rank, run.started),
+            default=None,
+        )
+
     def pop_ready(
         self, limits: Limits, settled: bool, now: float
     ) -> rankqueue.Waiting | None:
--- a/agatedock/gossip.py
+++ b/agatedock/gossip.py
@@ -22,7 +22,7 @@
 INDIRECT_PROBES = 3
 CHECK_PERIOD_S = 0.2
 STATE_REFRESH_S = 5.0
-STATE_MIN_GAP_S = 1.0
+STATE_MIN_GAP_S = 0.25
 
 _log = logging.getLogger(__name__)
 
@@ -73,6 +73,8 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._last_state: wire.StateItem | None = None
         self._last_state_at = 0.0
+        self._allowance = float(config.datagram_max_bytes)
+        self._allowed_at = time.monotonic()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport; called by the event loop."""
@@ -144,9 +146,8 @@
     ) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        picked = self.board.pick(
-            self._config.datagram_max_bytes, len(self.table.members)
-        )
+        picked = self.board.pick(self._room(), len(self.table.members))
+        self._allowance -= sum(len(data) for data in picked)
         packet = wire.Packet(
             kind,
             sequence,
@@ -161,6 +162,15 @@
         self.traffic.sent_packets += 1
         self._transport.sendto(data, addr)
 
+    def _room(self) -> int:
+        """Returns how many bytes of news the next datagram may carry."""
+        now = time.monotonic()
+        earned = (now - self._allowed_at) * self._config.update_bytes_per_s
+        most = self._config.datagram_max_bytes
+        self._allowance = min(most, self._allowance + earned)
+        self._allowed_at = now
+        return int(max(0, self._allowance))
+
     async def run(self) -> None:
         """Keeps membership going until cancelled."""
         try:
--- a/agatedock/home.py
+++ b/agatedock/home.py
@@ -5,13 +5,17 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from collections.abc import Callable
+from collections.abc import Coroutine
 import logging
+import math
 import time
+from typing import Any
 import uuid
 
 import aiohttp
 import cachetools
 
+from agatedock import answers
 from agatedock import calls
 from agatedock import explain
 from agatedock import fleet
@@ -28,6 +32,8 @@
 # How long an engine keeps a stream whose entry router went away.
 RESUME_GRACE_S = 2.0
 DIVERTS_MAX = 3
+# Standard deviations by which the mean load may have fallen unseen.
+MEAN_MARGIN = 2.0
 SHED_PERIOD_S = 1.0
 TOKENS_HEADER = "X-Cached-Tokens"
 STREAM_HEADER = "X-Stream-Id"
@@ -49,6 +55,7 @@
         call: calls.ChatCall,
         response: aiohttp.ClientResponse,
         stream_id: str,
+        run: gate.Run | None,
     ):
         self.engine = call.engine
         self.cached_tokens = int(response.headers.get(TOKENS_HEADER, 0))
@@ -56,6 +63,7 @@
         self._call = call
         self._response = response
         self._stream_id = stream_id
+        self._run = run
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yields what has arrived; raises aiohttp.ClientError on a cut."""
@@ -66,6 +74,8 @@
                 events += chunk.count(b"\n\n")
                 yield chunk
             ended = True
+            if self._run is not None and self._run.preempted:
+                yield answers.PREEMPTED_EVENT + answers.EVENT_END
         finally:
             # The end mark counts as an event but not as a token.
             self._home.end(
@@ -212,6 +222,22 @@
             load += item.load
         return load / engines if engines else 0.0
 
+    def _low_mean_load(self, model: str) -> float:
+        """Returns a mean that the true one is rarely below.
+
+        The loads of other homes are some tenths of a second old; meanwhile
+        the total moves by about its square root.
+        """
+        engines = load = 0
+        for item in self._list_loads(model):
+            engines += item.engines
+            # Queued requests count: else engines at their bound would keep
+            # the mean, and with it their bound, from growing with demand.
+            load += item.load + item.waiting
+        if not engines:
+            return 0.0
+        return max(0.0, load - MEAN_MARGIN * math.sqrt(load)) / engines
+
     def _list_loads(self, model: str) -> list[wire.ModelLoad]:
         own = [i for i in self.describe_loads() if i.model == model]
         others = [
@@ -248,7 +274,7 @@
     def _limits(self, model: str) -> gate.Limits:
         bound = gate.compute_bound(
             self._setting("load_bound", model),
-            self.mean_load(model),
+            self._low_mean_load(model),
             self._setting("load_bound_floor", model),
         )
         return gate.Limits(bound, self._setting("engine_slots", model))
@@ -354,12 +380,14 @@
                 decision.reason,
                 max(100, int(decision.wait_s * 1000)),
             )
-        if decision.choice == gate.Choice.WAIT:
+        if decision.choice == gate.Choice.PREEMPT:
+            self._preempt(call, held, known)
+        if decision.choice != gate.Choice.RUN:
             turned = await self._wait_turn(call, held)
             if turned is not None:
                 return turned
         else:
-            held.start(call, now)
+            held.start(call, now, queued=False)
         return await self._send(call, held, known)
 
     def _recall_diversion(self, call: calls.ChatCall, now: float) -> str | None:
@@ -390,6 +418,29 @@
         self.diversions[call.chat] = target
         return _turn(call, calls.Outcome.DIVERT, reason, target)
 
+    def _preempt(
+        self,
+        call: calls.ChatCall,
+        held: gate.Gate,
+        known: upstreams.Upstream,
+    ) -> None:
+        """Tells the engine to stop a run; its end frees the slot."""
+        limits = self._limits(call.model)
+        victim = held.choose_victim(call.rank, limits)
+        if victim is None:
+            return
+        victim.preempted = True
+        self._records.add(
+            victim.call.request_id, "preempt", call.engine, call.request_id
+        )
+        self._keep(self._cancel_on_engine(known, victim.call.request_id, ""))
+
+    def _keep(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs work beside the requests."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _wait_turn(
         self, call: calls.ChatCall, held: gate.Gate
     ) -> calls.Verdict | None:
@@ -435,7 +486,7 @@
         while ready := held.pop_ready(limits, settled, now):
             if ready.ticket.done():
                 continue
-            held.start(ready.call, now)
+            held.start(ready.call, now, queued=True)
             _resolve(ready.ticket, None)
 
     async def _send(
@@ -471,9 +522,11 @@
         if response.status != 200:
             return self._take_status(call, held, response)
         held.take_result(True, time.monotonic())
-        stream = EngineStream(self, call, response, stream_id)
+        stream = EngineStream(
+            self, call, response, stream_id, held.runs.get(call.request_id)
+        )
         self.streams += 1
-        self.prefixes[(call.engine, call.chat)] = call.work_tokens
+        self.prefixes[(call.engine, call.chat)] = call.prompt_tokens
         return stream
 
     def _take_status(
@@ -530,9 +583,7 @@
         self, call: calls.ChatCall, held: gate.Gate, stream_id: str
     ) -> None:
         run = held.runs.get(call.request_id)
-        task = asyncio.create_task(self._linger(call, held, stream_id, run))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._keep(self._linger(call, held, stream_id, run))
 
     async def _linger(
         self,
--- a/agatedock/rankqueue.py
+++ b/agatedock/rankqueue.py
@@ -5,6 +5,7 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
+import math
 from typing import Any
 
 from agatedock import calls
@@ -37,10 +38,11 @@
 
     def add(self, call: calls.ChatCall, ticket: Any) -> Waiting:
         """Queues a request behind the work of its account."""
-        start = max(self._virtual, self._finish_tags.get(call.account, 0.0))
+        start = self._charge_estimate(call)
+        if call.offset:
+            # An answer that has begun goes on before others begin.
+            start = -math.inf
         waiting = Waiting(call, start, ticket)
-        share = call.work_tokens / call.weight
-        self._finish_tags[call.account] = start + share
         self._lines.setdefault(call.account, collections.deque()).append(
             waiting
         )
@@ -68,18 +70,23 @@
         self.count -= 1
         self.work_tokens -= waiting.call.work_tokens
 
-    def charge(self, call: calls.ChatCall, actual_tokens: int) -> None:
+    def charge(self, call: calls.ChatCall, actual_work: int) -> None:
         """Replaces the estimated work of a finished request by the actual."""
         tag = self._finish_tags.get(call.account)
         if tag is not None:
-            correction = (actual_tokens - call.work_tokens) / call.weight
+            correction = (actual_work - call.work_tokens) / call.weight
             self._finish_tags[call.account] = tag + correction
 
     def start(self, call: calls.ChatCall) -> None:
         """Accounts for a request that ran without waiting."""
+        self._charge_estimate(call)
+
+    def _charge_estimate(self, call: calls.ChatCall) -> float:
+        """Adds a request to its account's work; returns its start tag."""
         start = max(self._virtual, self._finish_tags.get(call.account, 0.0))
         share = call.work_tokens / call.weight
         self._finish_tags[call.account] = start + share
+        return start
 
     def tokens_ahead(self, account: str) -> int:
         """Estimates the queued work that goes before a new request.
@@ -136,7 +143,8 @@
 
     def is_below_floor(self, rank: int, running: list[int], slots: int) -> bool:
         """Tells whether a rank has less than its floor on the engine."""
-        return running[rank] < int(self.floor_shares[rank] * slots)
+        # Rounded up: a floor of less than a slot must not come to nothing.
+        return running[rank] < math.ceil(self.floor_shares[rank] * slots)
 
     def tokens_ahead(self, call: calls.ChatCall) -> float:
         """Estimates the queued work that goes before a new request.
--- a/agatedockplug/baselines.py
+++ b/agatedockplug/baselines.py
@@ -27,3 +27,12 @@
     drawn = hashing.rank(f"{chat}\0{turn}", [c.name for c in candidates])
     loads = {c.name: c.load for c in candidates}
     return sorted(drawn[:2], key=lambda name: loads[name]) + drawn[2:]
+
+
+@placement.strategies.register("plain-hash")
+def order_plain_hash(
+    chat: str, candidates: Sequence[placement.Candidate], turn: int
+) -> list[str]:
+    """Returns engines by rendezvous weight; nothing enforces a bound."""
+    del turn
+    return placement.order(chat, candidates)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of agatedock against baselines; not part of the product."""
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,333 @@
+"""Open-loop load of returning chats, seeded."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from concurrent import futures
+import dataclasses
+import json
+import multiprocessing
+import random
+import time
+
+import aiohttp
+from hdrh import histogram
+import uvloop
+
+RANKS = ("urgent", "normal", "low")
+RANK_SHARES = (0.3, 0.5, 0.2)
+ANSWER_TOKENS = 48
+TURN_CHARS = 200
+CHAT_MAX_CHARS = 8000
+CHARS_PER_TOKEN = 4
+APART_PROCESSES = 3
+HISTOGRAM_MAX_US = 60_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Mix:
+    """A stream of requests.
+
+    Attributes:
+      per_s: Mean number of requests a second.
+      chats: Number of chats that return.
+      skew: Exponent of the Zipf law over chats; 0 for equal shares.
+      ranks: Share of each rank.
+      accounts: Share of each account.
+    """
+
+    per_s: float
+    chats: int
+    skew: float
+    ranks: tuple[float, ...]
+    accounts: dict[str, float]
+
+
+def make_accounts(large: int = 2, small: int = 8) -> dict[str, float]:
+    """Returns a few large accounts, with 60% together, and small ones."""
+    shares = {f"large-{i}": 0.6 / large for i in range(large)}
+    shares.update({f"small-{i}": 0.4 / small for i in range(small)})
+    return shares
+
+
+@dataclasses.dataclass
+class Chat:
+    """A chat that returns."""
+
+    name: str
+    account: str
+    text: str = ""
+    turns: int = 0
+    busy: bool = False
+    prefix_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Sample:
+    """What came of one request; times in seconds since the run began."""
+
+    request_id: str
+    phase: str
+    rank: int
+    account: str
+    status: int
+    code: str
+    not_run: bool
+    whole: bool
+    first_s: float
+    gaps_s: tuple[float, ...]
+    tokens: int
+    cached: int
+    ideal: int
+
+
+@dataclasses.dataclass
+class Recorder:
+    """All samples of a run."""
+
+    samples: list[Sample] = dataclasses.field(default_factory=list)
+
+    def select(self, phase: str = "", **fields: object) -> list[Sample]:
+        """Returns the samples of a phase with the given fields."""
+        return [
+            s
+            for s in self.samples
+            if (not phase or s.phase == phase)
+            and all(getattr(s, k) == v for k, v in fields.items())
+        ]
+
+
+def summarize_ms(values_s: list[float]) -> dict[str, float]:
+    """Returns p50, p95 and p99 in milliseconds."""
+    spread = histogram.HdrHistogram(1, HISTOGRAM_MAX_US, 3)
+    for value in values_s:
+        spread.record_value(max(1, int(value * 1e6)))
+    return {
+        f"p{q}": round(spread.get_value_at_percentile(q) / 1000, 1)
+        for q in (50, 95, 99)
+    }
+
+
+class Load:
+    """Sends a mix of requests to routers in turn."""
+
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        urls: list[str],
+        model: str,
+        seed: int,
+        first: int = 0,
+    ):
+        self.recorder = Recorder()
+        self.phase = ""
+        self._http = http
+        self._urls = urls
+        self._model = model
+        self._random = random.Random(seed)
+        self._count = first
+        self._names = first
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, mix: Mix, seconds: float) -> None:
+        """Sends requests at random times for a while, without waiting."""
+        chats = [self._make_chat(mix) for _ in range(mix.chats)]
+        weights = [1 / (i + 1) ** mix.skew for i in range(mix.chats)]
+        at = time.monotonic()
+        until = at + seconds
+        while at < until:
+            at += self._random.expovariate(mix.per_s)
+            await asyncio.sleep(max(0.0, at - time.monotonic()))
+            chat = self._choose(chats, weights)
+            rank = self._random.choices(range(3), mix.ranks)[0]
+            if chat is not None:
+                self._start(chat, rank)
+
+    def _choose(self, chats: list[Chat], weights: list[float]) -> Chat | None:
+        """Returns a chat that is not waiting for an answer."""
+        for _ in range(20):
+            chat = self._random.choices(chats, weights)[0]
+            if not chat.busy:
+                return chat
+        return None
+
+    def _make_chat(self, mix: Mix) -> Chat:
+        self._names += 1
+        names = list(mix.accounts)
+        account = self._random.choices(names, list(mix.accounts.values()))[0]
+        return Chat(f"chat-{self._names}", account)
+
+    def _start(self, chat: Chat, rank: int) -> None:
+        chat.busy = True
+        self._count += 1
+        task = asyncio.create_task(self._send(chat, rank, self._count))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def run_apart(self, mix: Mix, seconds: float, first: int) -> None:
+        """Sends a large mix from processes of its own.
+
+        Args:
+          mix: What to send; its rate is shared by the processes.
+          seconds: For how long.
+          first: Number that keeps the request ids of all mixes apart.
+        """
+        share = dataclasses.replace(
+            mix,
+            per_s=mix.per_s / APART_PROCESSES,
+            chats=mix.chats // APART_PROCESSES,
+        )
+        context = multiprocessing.get_context("spawn")
+        loop = asyncio.get_running_loop()
+        with futures.ProcessPoolExecutor(APART_PROCESSES, context) as pool:
+            parts = [
+                loop.run_in_executor(
+                    pool,
+                    send_apart,
+                    self._urls,
+                    self._model,
+                    self._random.getrandbits(30),
+                    share,
+                    seconds,
+                    self.phase,
+                    first + index * 1_000_000,
+                )
+                for index in range(APART_PROCESSES)
+            ]
+            for samples in await asyncio.gather(*parts):
+                self.recorder.samples.extend(samples)
+
+    async def drain(self) -> None:
+        """Waits for all answers."""
+        while self._tasks:
+            await asyncio.wait(list(self._tasks))
+
+    async def _send(self, chat: Chat, rank: int, number: int) -> None:
+        if len(chat.text) > CHAT_MAX_CHARS:
+            self._names += 1
+            chat.name = f"chat-{self._names}"
+            chat.text, chat.turns, chat.prefix_tokens = "", 0, 0
+        text = chat.text + f"{number:08d}" * (TURN_CHARS // 8)
+        request_id = f"q{number}"
+        phase = self.phase
+        body = json.dumps(
+            {
+                "model": self._model,
+                "messages": [{"role": "user", "content": text}],
+                "max_tokens": ANSWER_TOKENS * 2,
+                "answer_tokens": ANSWER_TOKENS,
+                "stream": True,
+            }
+        )
+        headers = {
+            "X-Client-Account": chat.account,
+            "X-Request-Id": request_id,
+            "X-Chat-Id": chat.name,
+            "X-Work": RANKS[rank],
+        }
+        url = self._urls[number % len(self._urls)]
+        ideal = min(chat.prefix_tokens, len(text) // CHARS_PER_TOKEN)
+        sample = await self._ask(url, headers, body, phase, rank, ideal)
+        if sample.whole:
+            chat.text = text + "a" * (ANSWER_TOKENS * CHARS_PER_TOKEN)
+            chat.prefix_tokens = len(chat.text) // CHARS_PER_TOKEN
+            chat.turns += 1
+        chat.busy = False
+        self.recorder.samples.append(sample)
+
+    async def _ask(
+        self,
+        url: str,
+        headers: dict[str, str],
+        body: str,
+        phase: str,
+        rank: int,
+        ideal: int,
+    ) -> Sample:
+        started = time.monotonic()
+        first, last, tokens = 0.0, 0.0, 0
+        gaps: list[float] = []
+        tail, status, code, cached, not_run = b"", 0, "", 0, False
+        try:
+            async with self._http.post(
+                f"{url}/v1/chat/completions", headers=headers, data=body
+            ) as response:
+                status = response.status
+                cached = int(response.headers.get("X-Cached-Tokens", 0))
+                while chunk := await response.content.readany():
+                    now = time.monotonic()
+                    events = chunk.count(b"\n\n")
+                    if not first:
+                        first = now
+                    elif events:
+                        gaps.append((now - last) / events)
+                    last = now
+                    tokens += events
+                    tail = (tail + chunk)[-400:]
+            if status != 200:
+                error = json.loads(tail)["error"]
+                code = f"{error['code']}: {error['message'].split('(')[0][:40]}"
+                not_run = error["not_run"]
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            code = type(error).__name__
+        whole = status == 200 and tail.endswith(b"data: [DONE]\n\n")
+        return Sample(
+            headers["X-Request-Id"],
+            phase,
+            rank,
+            headers["X-Client-Account"],
+            status,
+            code,
+            not_run,
+            whole,
+            first - started,
+            tuple(gaps),
+            max(0, tokens - 2) if whole else 0,
+            cached if whole else 0,
+            ideal if whole else 0,
+        )
+
+
+def reuse(samples: list[Sample]) -> float:
+    """Returns reused prefix tokens over those of an unbounded ideal."""
+    ideal = sum(s.ideal for s in samples)
+    return sum(s.cached for s in samples) / ideal if ideal else 1.0
+
+
+def count_codes(samples: list[Sample]) -> dict[str, int]:
+    """Returns how often each error code came."""
+    return dict(collections.Counter(s.code or "ok" for s in samples))
+
+
+def send_apart(
+    urls: list[str],
+    model: str,
+    seed: int,
+    mix: Mix,
+    seconds: float,
+    phase: str,
+    first: int,
+) -> list[Sample]:
+    """Sends a mix from this process and returns its samples."""
+    return uvloop.run(
+        _send_apart(urls, model, seed, mix, seconds, phase, first)
+    )
+
+
+async def _send_apart(
+    urls: list[str],
+    model: str,
+    seed: int,
+    mix: Mix,
+    seconds: float,
+    phase: str,
+    first: int,
+) -> list[Sample]:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as http:
+        sender = Load(http, urls, model, seed, first)
+        sender.phase = phase
+        await sender.run(mix, seconds)
+        await sender.drain()
+        return sender.recorder.samples
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,414 @@
+"""Measures the decisions: reuse, bound, ranks, shares and floods.
+
+Prints a table and writes JSON. Each figure stands beside a baseline of the
+same run or of the same program with a simple placement.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import bisect
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import json
+import math
+import os
+import pathlib
+import time
+
+import uvloop
+
+from bench import load
+from standins import fleet
+
+MODEL = "santa-llm"
+DOMAINS = ("ikeja", "lekki", "yaba", "apapa")
+ROUTERS = 6
+ENGINES = 6
+BATCH = 8
+STEP_MS = 30
+BOUND = 1.5
+BOUND_FLOOR = 4
+# Requests a second that the engines can finish, by their own batching.
+CAPACITY_PER_S = ENGINES * BATCH / ((load.ANSWER_TOKENS + 2) * STEP_MS / 1000)
+# Mixes above this rate are sent from processes of their own, which take this
+# long to start.
+APART_PER_S = 100.0
+APART_START_S = 1.5
+BASELINES = ("round-robin", "plain-hash", "two-choices")
+
+
+def make_plan(placement: str) -> fleet.Plan:
+    """Returns Kolanut's fleet with the ranks of the load."""
+    defaults = {
+        "placement": placement,
+        "load_bound": BOUND,
+        "load_bound_floor": BOUND_FLOOR,
+        "engine_slots": BATCH,
+    }
+    if placement != "bounded":
+        defaults["load_bound"] = 10.0
+    spread = tuple(DOMAINS[i % len(DOMAINS)] for i in range(ROUTERS))
+    return fleet.Plan(
+        document={
+            "defaults": defaults,
+            "models": [{"name": MODEL}],
+            "works": {rank: rank for rank in load.RANKS},
+        },
+        routers=spread,
+        engines={MODEL: spread[:ENGINES]},
+        replicas={},
+        engine_options=("--batch", str(BATCH), "--step-ms", str(STEP_MS)),
+        settings={"log": {"level": "warning"}},
+    )
+
+
+@dataclasses.dataclass
+class Run:
+    """A running fleet under load."""
+
+    running: fleet.Fleet
+    load: load.Load
+    seconds: float
+    first: int = 0
+    apart: list[asyncio.Task] = dataclasses.field(default_factory=list)
+
+    async def phase(self, name: str, *mixes: load.Mix) -> None:
+        """Sends mixes together for one phase."""
+        self.load.phase = name
+        small = [m for m in mixes if m.per_s <= APART_PER_S]
+        large = [m for m in mixes if m.per_s > APART_PER_S]
+        for mix in large:
+            self.first += 10_000_000
+            work = self.load.run_apart(mix, self.seconds, self.first)
+            self.apart.append(asyncio.create_task(work))
+        if large:
+            await asyncio.sleep(APART_START_S)
+        await asyncio.gather(
+            *(self.load.run(mix, self.seconds) for mix in small)
+        )
+
+    async def finish(self) -> None:
+        """Waits for all answers."""
+        await asyncio.gather(*self.apart)
+        await self.load.drain()
+
+
+def make_mix(share: float, **changes: object) -> load.Mix:
+    """Returns a mix at a share of the engines' capacity."""
+    mix = load.Mix(
+        per_s=share * CAPACITY_PER_S,
+        chats=400,
+        skew=0.0,
+        ranks=load.RANK_SHARES,
+        accounts=load.make_accounts(),
+    )
+    return dataclasses.replace(mix, **changes)
+
+
+Case = Callable[[Run], Awaitable[None]]
+
+
+async def run_steady(run: Run) -> None:
+    """Chats return at six tenths of capacity."""
+    await run.phase("warm", make_mix(0.6))
+    await run.phase("calm", make_mix(0.6))
+
+
+async def run_skewed(run: Run) -> None:
+    """A few chats return far more often than the others."""
+    await run.phase("warm", make_mix(0.6, skew=1.0))
+    await run.phase("calm", make_mix(0.6, skew=1.0))
+
+
+async def run_churn(run: Run) -> None:
+    """Engines join and leave all the while."""
+    await run.phase("warm", make_mix(0.5))
+    churn = asyncio.create_task(_replace_engines(run))
+    await run.phase("calm", make_mix(0.5))
+    await churn
+
+
+async def _replace_engines(run: Run) -> None:
+    for index in range(2):
+        await asyncio.sleep(run.seconds / 3)
+        await run.running.mark_leaving(f"{MODEL}-{index}")
+        await run.running.start_engine(
+            f"{MODEL}-new-{index}", MODEL, DOMAINS[index]
+        )
+
+
+def _make_flood(rank: int) -> load.Mix:
+    shares = tuple(1.0 if i == rank else 0.0 for i in range(3))
+    return make_mix(10.0, ranks=shares, chats=4000)
+
+
+async def run_flood_low(run: Run) -> None:
+    """The least urgent work floods in at ten times capacity."""
+    await _flood(run, 2)
+
+
+async def run_flood_high(run: Run) -> None:
+    """The most urgent work floods in at ten times capacity."""
+    await _flood(run, 0)
+
+
+async def _flood(run: Run, rank: int) -> None:
+    await run.phase("calm", make_mix(0.5))
+    await run.phase("flood", make_mix(0.5), _make_flood(rank))
+    await run.phase("after", make_mix(0.5))
+
+
+async def run_greedy(run: Run) -> None:
+    """Two accounts ask for four times capacity beside small ones."""
+    greedy = make_mix(
+        4.0,
+        ranks=(0.0, 1.0, 0.0),
+        accounts={"greedy-0": 0.5, "greedy-1": 0.5},
+        chats=4000,
+    )
+    quiet = make_mix(
+        0.3,
+        ranks=(0.0, 1.0, 0.0),
+        accounts={f"small-{i}": 0.125 for i in range(8)},
+    )
+    await run.phase("calm", quiet)
+    await run.phase("flood", quiet, greedy)
+    await run.phase("after", quiet)
+
+
+CASES: dict[str, Case] = {
+    "steady": run_steady,
+    "skewed": run_skewed,
+    "churn": run_churn,
+    "flood-low": run_flood_low,
+    "flood-high": run_flood_high,
+    "greedy": run_greedy,
+}
+COMPARED = ("steady", "skewed", "churn")
+
+
+@dataclasses.dataclass(frozen=True)
+class Usage:
+    """What a router has used so far."""
+
+    cpu_s: float
+    control_bytes: int
+
+
+def read_stat(pid: int) -> str:
+    """Returns what the kernel says of a process."""
+    return pathlib.Path(f"/proc/{pid}/stat").read_text()
+
+
+async def read_usage(running: fleet.Fleet) -> dict[str, Usage]:
+    """Returns what each router has used so far."""
+    usage = {}
+    tick = os.sysconf("SC_CLK_TCK")
+    for name, process in running.routers.items():
+        stat = read_stat(process.process.pid)
+        fields = stat.rpartition(")")[2].split()
+        control = (await running.dump(process))["control"]
+        usage[name] = Usage(
+            (int(fields[11]) + int(fields[12])) / tick,
+            control["sent_bytes"] + control["received_bytes"],
+        )
+    return usage
+
+
+@dataclasses.dataclass(frozen=True)
+class Loads:
+    """Loads of all engines by their own records."""
+
+    times: dict[str, list[float]]
+    values: dict[str, list[int]]
+
+    def mean_at(self, at: float) -> float:
+        """Returns the mean load at a time, over engines started by then."""
+        found = []
+        for name, times in self.times.items():
+            index = bisect.bisect_right(times, at) - 1
+            if index >= 0:
+                found.append(self.values[name][index])
+        return sum(found) / len(found)
+
+
+async def read_records(running: fleet.Fleet) -> list[dict]:
+    """Returns the engines' own records."""
+    return [
+        await running.read(process)
+        for process in running.upstreams.values()
+        if process.alive
+    ]
+
+
+def measure_bound(records: list[dict]) -> dict[str, float]:
+    """Compares each placement with the multiple of the mean at its time."""
+    loads = Loads(
+        {r["name"]: [at for at, _ in r["loads"]] for r in records},
+        {r["name"]: [n for _, n in r["loads"]] for r in records},
+    )
+    above, worst, placements = 0, 0.0, 0
+    for record in records:
+        for run in record["runs"]:
+            mean = loads.mean_at(run["at"])
+            limit = max(BOUND_FLOOR, math.ceil(BOUND * mean))
+            placements += 1
+            above += run["load"] > limit
+            if mean >= BOUND_FLOOR / BOUND:
+                worst = max(worst, run["load"] / mean)
+    return {
+        "peak_over_mean": round(worst, 2),
+        "above_bound": round(above / max(1, placements), 4),
+    }
+
+
+def find_false_refusals(samples: list[load.Sample], records: list[dict]) -> int:
+    """Counts refusals that said not run and yet ran."""
+    ran = {
+        run["request_id"].rpartition(".")[0]
+        for record in records
+        for run in record["runs"]
+    }
+    return sum(s.not_run and s.request_id in ran for s in samples)
+
+
+def summarize(
+    run: Run,
+    records: list[dict],
+    before: dict[str, Usage],
+    after: dict[str, Usage],
+    elapsed_s: float,
+) -> dict:
+    """Returns all figures of a run."""
+    samples = run.load.recorder.samples
+    figures: dict = {
+        "codes": load.count_codes(samples),
+        "false_refusals": find_false_refusals(samples, records),
+        **measure_bound(records),
+    }
+    spent = [after[n].cpu_s - before[n].cpu_s for n in after]
+    control = [after[n].control_bytes - before[n].control_bytes for n in after]
+    figures["router_cpu"] = round(max(spent) / elapsed_s, 3)
+    figures["control_bytes_per_s"] = round(max(control) / elapsed_s)
+    figures["phases"] = {
+        phase: summarize_phase(run, phase)
+        for phase in dict.fromkeys(s.phase for s in samples)
+    }
+    return figures
+
+
+def summarize_phase(run: Run, phase: str) -> dict:
+    """Returns the figures of one phase."""
+    recorder = run.load.recorder
+    samples = recorder.select(phase)
+    figures: dict = {
+        "reuse": round(load.reuse(samples), 3),
+        "tokens_per_s": round(sum(s.tokens for s in samples) / run.seconds),
+        "ranks": {},
+        "small": summarize_service(
+            [s for s in samples if s.account.startswith("small")]
+        ),
+    }
+    for rank, name in enumerate(load.RANKS):
+        chosen = [s for s in samples if s.rank == rank]
+        if chosen:
+            figures["ranks"][name] = summarize_service(chosen)
+    return figures
+
+
+def summarize_service(samples: list[load.Sample]) -> dict:
+    """Returns kept work and times of some requests."""
+    kept = [s for s in samples if s.whole]
+    gaps = [gap for s in kept for gap in s.gaps_s]
+    return {
+        "offered": len(samples),
+        "kept": round(len(kept) / max(1, len(samples)), 3),
+        "kept_tokens": sum(s.tokens for s in kept),
+        "first_ms": load.summarize_ms([s.first_s for s in kept]),
+        "gap_ms": load.summarize_ms(gaps),
+    }
+
+
+async def measure(case: str, placement: str, seed: int, seconds: float) -> dict:
+    """Runs one case with one placement and returns its figures."""
+    async with fleet.Fleet(make_plan(placement)) as running:
+        urls = [router.url for router in running.routers.values()]
+        run = Run(running, load.Load(running.http, urls, MODEL, seed), seconds)
+        before = await read_usage(running)
+        started = time.monotonic()
+        await CASES[case](run)
+        elapsed_s = time.monotonic() - started
+        after = await read_usage(running)
+        await run.finish()
+        records = await read_records(running)
+        figures = summarize(run, records, before, after, elapsed_s)
+    return {
+        "case": case,
+        "placement": placement,
+        "seed": seed,
+        "seconds": seconds,
+        **figures,
+    }
+
+
+def print_row(row: dict) -> None:
+    """Prints the figures of a run for people."""
+    print(
+        f"{row['case']} / {row['placement']} / seed {row['seed']}: "
+        f"peak/mean {row['peak_over_mean']}, "
+        f"above bound {row['above_bound']:.2%}, "
+        f"cpu {row['router_cpu']:.1%}, "
+        f"control {row['control_bytes_per_s']} B/s, "
+        f"refusals found run {row['false_refusals']}, {row['codes']}"
+    )
+    for phase, figures in row["phases"].items():
+        print(
+            f"  {phase:6} reuse {figures['reuse']:.3f} "
+            f"tokens/s {figures['tokens_per_s']}"
+        )
+        rows = {**figures["ranks"], "(small)": figures["small"]}
+        for name, service in rows.items():
+            first, gap = service["first_ms"], service["gap_ms"]
+            print(
+                f"    {name:8} kept {service['kept']:.3f} of "
+                f"{service['offered']:5}  first {first['p50']:7} "
+                f"{first['p95']:7} {first['p99']:7}  gap {gap['p95']:6}"
+            )
+
+
+async def run_all(arguments: argparse.Namespace) -> None:
+    """Runs the chosen cases and writes their figures."""
+    rows = []
+    for seed in arguments.seeds:
+        for case in arguments.cases or CASES:
+            placements = ["bounded"]
+            if case in COMPARED and not arguments.only:
+                placements += BASELINES
+            for placement in placements:
+                row = await measure(case, placement, seed, arguments.seconds)
+                rows.append(row)
+                print_row(row)
+    arguments.out.parent.mkdir(parents=True, exist_ok=True)
+    arguments.out.write_text(json.dumps(rows, indent=1))
+
+
+def main() -> None:
+    """Runs the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("cases", nargs="*", help=", ".join(CASES))
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2])
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument(
+        "--only", action="store_true", help="leave out the baselines"
+    )
+    parser.add_argument(
+        "--out", type=pathlib.Path, default=pathlib.Path("out/measure.json")
+    )
+    uvloop.run(run_all(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
