Keep returning chats on their engine and the bound with it; give floors back

Loads of other homes were up to a second old, and a request at the bound was always sent elsewhere, although a slot on the engine with its prefix would have come free at once. Under a flood of low work urgent first tokens took 13 times as long (928 ms against 67 ms at p95): all slots were lent and none was given back.

News is spread strictly least sent first, and among ranks below their floors the one with least of its floor goes first; both were found by property tests.

--- a/agatedock/board.py
+++ b/agatedock/board.py
@@ -39,11 +39,13 @@
         chosen: list[bytes] = []
         room = max_bytes
         # Sorting is stable, so equally sent items go in order of age.
-        for key in sorted(self._notes, key=lambda k: self._notes[k].sends):
+        order = sorted(self._notes, key=lambda key: self._notes[key].sends)
+        for key in order:
             note = self._notes[key]
             size = len(note.data) + ITEM_OVERHEAD_BYTES
             if size > room:
-                continue
+                # Smaller items must not overtake this one again and again.
+                break
             room -= size
             chosen.append(note.data)
             note.sends += 1
--- a/agatedock/gate.py
+++ b/agatedock/gate.py
@@ -19,6 +19,10 @@
 # Share of the estimated work that requests turn out to need, before any
 # has finished: callers ask for more tokens than they use.
 START_ACTUAL_SHARE = 0.5
+# Share of its target that a request waits for the engine with its prefix,
+# if that is of at least so many tokens.
+PATIENCE_SHARE = 0.1
+PREFIX_MIN_TOKENS = 64
 # How far an engine's load reports may lag.
 REPORT_LAG_S = 1.0
 FAILURES_TO_EJECT = 2
@@ -180,8 +184,7 @@
         if full and self.choose_victim(call.rank, limits) is not None:
             return Decision(Choice.PREEMPT, "takes back a slot of its floor")
         wait_s = self.expect_wait_s(call)
-        saved_s = cached_tokens / PREFILL_TOKENS_PER_S
-        if can_divert and wait_s > saved_s:
+        if can_divert and wait_s > self._patience_s(call, cached_tokens, now):
             return Decision(Choice.DIVERT, "another engine is sooner", wait_s)
         if not call.offset and now + wait_s > call.deadline:
             return self._turn_away(
@@ -189,6 +192,19 @@
             )
         return Decision(Choice.WAIT, "queued by rank", wait_s)
 
+    def _patience_s(
+        self, call: calls.ChatCall, cached_tokens: int, now: float
+    ) -> float:
+        """Returns how long a request waits for the engine with its prefix.
+
+        Beside the prefill it saves, a prefix spares all engines work; that
+        is worth a part of the time that the rank's target leaves.
+        """
+        if cached_tokens < PREFIX_MIN_TOKENS:
+            return 0.0
+        saved_s = cached_tokens / PREFILL_TOKENS_PER_S
+        return saved_s + PATIENCE_SHARE * max(0.0, call.deadline - now)
+
     def _turn_away(
         self,
         call: calls.ChatCall,
@@ -204,11 +220,10 @@
     def expect_wait_s(self, call: calls.ChatCall) -> float:
         """Estimates the time in seconds until a new request would run."""
         ahead = self.queue.tokens_ahead(call)
-        # A slot frees after the remaining work of one request on average.
+        # Of requests of random age the first to end has about one part in
+        # their number of its work left, and a like part of the work rate.
         running = [run.call.work_tokens for run in self.runs.values()]
-        turn = (
-            sum(running) / len(running) / (len(running) + 1) if running else 0
-        )
+        turn = sum(running) / (len(running) + 1)
         return (ahead + turn) * self.actual_share / self.tokens_per_s
 
     def enqueue(self, call: calls.ChatCall, ticket: Any) -> rankqueue.Waiting:
--- a/agatedock/gossip.py
+++ b/agatedock/gossip.py
@@ -22,7 +22,9 @@
 INDIRECT_PROBES = 3
 CHECK_PERIOD_S = 0.2
 STATE_REFRESH_S = 5.0
-STATE_MIN_GAP_S = 0.25
+STATE_MIN_GAP_S = 0.2
+DIRECT_MEMBERS_MAX = 12
+PACKET_OVERHEAD_BYTES = 28
 
 _log = logging.getLogger(__name__)
 
@@ -73,6 +75,7 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._last_state: wire.StateItem | None = None
         self._last_state_at = 0.0
+        self._state_gap_s = STATE_MIN_GAP_S
         self._allowance = float(config.datagram_max_bytes)
         self._allowed_at = time.monotonic()
 
@@ -103,7 +106,7 @@
             if news is not None:
                 self._announce(news)
         elif isinstance(item, wire.StateItem):
-            if self.table.merge_state(item, now):
+            if self.table.merge_state(item, now) and not self._is_small():
                 self.board.post(item)
         elif self._listener.hear_leaving(item):
             self.board.post(item)
@@ -144,10 +147,22 @@
     def _send(
         self, addr: tuple, kind: wire.Kind, sequence: int, target: str = ""
     ) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
+        """Sends a datagram with news for which there is room."""
         picked = self.board.pick(self._room(), len(self.table.members))
         self._allowance -= sum(len(data) for data in picked)
+        self._transmit(addr, kind, sequence, target, picked)
+
+    def _transmit(
+        self,
+        addr: tuple,
+        kind: wire.Kind,
+        sequence: int,
+        target: str,
+        items: list[bytes],
+    ) -> None:
+        """Sends one datagram."""
+        if self._transport is None or self._transport.is_closing():
+            return
         packet = wire.Packet(
             kind,
             sequence,
@@ -155,7 +170,7 @@
             target,
             self.revision,
             self.digest,
-            [msgspec.Raw(data) for data in picked],
+            [msgspec.Raw(item) for item in items],
         )
         data = wire.encode(packet)
         self.traffic.sent_bytes += len(data)
@@ -284,12 +299,33 @@
         )
         if fresh == last and age_s < STATE_REFRESH_S:
             return
-        if age_s < STATE_MIN_GAP_S:
+        if age_s < self._state_gap_s:
             return
         self._last_state, self._last_state_at = state, now
         own = self.table.members[self.table.own.name]
         own.state, own.state_at = state, now
-        self.board.post(state)
+        if self._is_small():
+            self._send_state(state)
+        else:
+            self.board.post(state)
+
+    def _is_small(self) -> bool:
+        """Tells whether every router can tell all others directly.
+
+        That is the freshest way; its bytes grow with the fleet, so larger
+        fleets pass states on from router to router.
+        """
+        return len(self.table.members) <= DIRECT_MEMBERS_MAX
+
+    def _send_state(self, state: wire.StateItem) -> None:
+        """Sends this router's own state to every peer."""
+        data = wire.encode_item(state)
+        peers = self.table.list_peers()
+        for peer in peers:
+            self._transmit(_address(peer), wire.Kind.UPDATE, 0, "", [data])
+        spent = len(peers) * (len(data) + PACKET_OVERHEAD_BYTES)
+        gap_s = spent / self._config.update_bytes_per_s
+        self._state_gap_s = max(STATE_MIN_GAP_S, gap_s)
 
     def push_now(self, count: int) -> None:
         """Sends news at once to a few random peers."""
--- a/agatedock/home.py
+++ b/agatedock/home.py
@@ -33,7 +33,7 @@
 RESUME_GRACE_S = 2.0
 DIVERTS_MAX = 3
 # Standard deviations by which the mean load may have fallen unseen.
-MEAN_MARGIN = 2.0
+MEAN_MARGIN = 1.0
 SHED_PERIOD_S = 1.0
 TOKENS_HEADER = "X-Cached-Tokens"
 STREAM_HEADER = "X-Stream-Id"
--- a/agatedock/rankqueue.py
+++ b/agatedock/rankqueue.py
@@ -128,8 +128,9 @@
     def pop(self, running: list[int], slots: int) -> Waiting | None:
         """Takes the next request to run.
 
-        A rank below its floor goes first; then strictly by rank. Floors of
-        ranks with nothing waiting are so lent to the others.
+        Ranks below their floors go first, the one that has least of its
+        floor before the others; then strictly by rank. Floors of ranks with
+        nothing waiting are so lent to the others.
 
         Args:
           running: Requests on the engine by rank.
@@ -139,12 +140,21 @@
         if not waiting:
             return None
         below = [r for r in waiting if self.is_below_floor(r, running, slots)]
-        return self.lines[(below or waiting)[0]].pop()
+        if below:
+            least = min(below, key=lambda r: running[r] / self._floor(r, slots))
+            return self.lines[least].pop()
+        return self.lines[waiting[0]].pop()
+
+    def _floor(self, rank: int, slots: int) -> int:
+        """Returns the slots kept for a rank.
+
+        Rounded up: a floor of less than a slot must not come to nothing.
+        """
+        return math.ceil(self.floor_shares[rank] * slots)
 
     def is_below_floor(self, rank: int, running: list[int], slots: int) -> bool:
         """Tells whether a rank has less than its floor on the engine."""
-        # Rounded up: a floor of less than a slot must not come to nothing.
-        return running[rank] < math.ceil(self.floor_shares[rank] * slots)
+        return running[rank] < self._floor(rank, slots)
 
     def tokens_ahead(self, call: calls.ChatCall) -> float:
         """Estimates the queued work that goes before a new request.
--- a/agatedock/settings.py
+++ b/agatedock/settings.py
@@ -66,7 +66,7 @@
     suspicion_ms: _Millis
     updates_per_s: _Rate
     update_bytes_per_s: _Count
-    datagram_max_bytes: Annotated[int, pydantic.Field(ge=400, le=1400)]
+    datagram_max_bytes: Annotated[int, pydantic.Field(ge=600, le=1400)]
     forget_dead_ms: _Millis
 
 
--- a/test/helper.py
+++ b/test/helper.py
@@ -15,15 +15,18 @@
 GOLDEN = pathlib.Path(__file__).parent / "golden"
 EXAMPLES = int(os.environ.get("AGATEDOCK_EXAMPLES", "100"))
 
-hypothesis.settings.register_profile(
-    "fixed",
-    derandomize=True,
-    deadline=None,
-    database=None,
-    max_examples=EXAMPLES,
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
-hypothesis.settings.load_profile("fixed")
+
+def load_profile() -> None:
+    """Makes hypothesis give the same verdict on each run."""
+    hypothesis.settings.register_profile(
+        "fixed",
+        derandomize=True,
+        deadline=None,
+        database=None,
+        max_examples=EXAMPLES,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    hypothesis.settings.load_profile("fixed")
 
 
 def compare_golden(case, name: str, text: str) -> None:
