Test settings, findings, bad input and overload; fuzz the border

Cause: the border had no tests of its own; a shadowed exception was reported once for each later one. Change: golden findings with places, bad requests over sockets, refusals against the engine's own record, property tests of every decoder; a typed error for a call from a peer that does not decode.

--- a/agatedock/calls.py
+++ b/agatedock/calls.py
@@ -97,6 +97,10 @@
     not_run: bool = True
 
 
+class BadCall(Exception):  # noqa: N818
+    """A call from a peer that does not decode."""
+
+
 CALL_HEADER = "X-Agatedock-Call"
 
 
@@ -127,16 +131,19 @@
     del fields["body"]
     deadline = fields.pop("deadline")
     head = _CallHead(left_ms=int((deadline - now) * 1000), **fields)
-    return msgspec.json.encode(head).decode("latin-1")
+    return msgspec.json.encode(head).decode()
 
 
 def decode_call(header: str, body: bytes, now: float) -> ChatCall:
     """Returns the call that a peer sent.
 
     Raises:
-      msgspec.MsgspecError: The header does not decode.
+      BadCall: The header does not decode.
     """
-    head = msgspec.json.decode(header.encode("latin-1"), type=_CallHead)
+    try:
+        head = msgspec.json.decode(header.encode(), type=_CallHead)
+    except (msgspec.MsgspecError, UnicodeError) as error:
+        raise BadCall(str(error)) from None
     fields = msgspec.structs.asdict(head)
     left_ms = fields.pop("left_ms")
     return ChatCall(deadline=now + left_ms / 1000, body=body, **fields)
--- a/agatedock/chat.py
+++ b/agatedock/chat.py
@@ -161,7 +161,7 @@
           errors.Refusal: It was not served.
         """
         now = time.monotonic()
-        wanted = _parse(data)
+        wanted = parse(data)
         plan = self._make_plan(wanted, caller, now)
         self._shed(plan, now)
         self._budget.earn(self._setting("retry_ratio", plan))
@@ -475,7 +475,12 @@
             await self._peers.cancel(owner, stream.engine, plan.request_id)
 
 
-def _parse(data: bytes) -> ChatRequest:
+def parse(data: bytes) -> ChatRequest:
+    """Returns the request in a caller's body.
+
+    Raises:
+      errors.Refusal: With everything that is wrong with it.
+    """
     try:
         return ChatRequest.model_validate_json(data)
     except pydantic.ValidationError as error:
--- a/agatedock/fleet.py
+++ b/agatedock/fleet.py
@@ -297,3 +297,4 @@
         ):
             message = f"can never apply: {later.id!r} sets the same"
             yield ("exceptions", index), message
+            return
--- a/agatedock/servers.py
+++ b/agatedock/servers.py
@@ -205,7 +205,7 @@
                 body,
                 time.monotonic(),
             )
-        except msgspec.MsgspecError as error:
+        except calls.BadCall as error:
             return web.Response(status=400, text=str(error))
         opened = await self._home.open(call)
         if isinstance(opened, calls.Verdict):
--- /dev/null
+++ b/test/test_fleet.py
@@ -0,0 +1,131 @@
+"""Fleet configuration: findings and exceptions."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+from agatedock import errors
+from agatedock import fleet
+from agatedock import places
+from agatedock import resolve
+
+NOW_MS = 1_800_000_000_000
+
+BAD = """\
+defaults: {load_bond: 1.5}
+works: {guide: fastest}
+models: [{name: llm}, {name: llm}]
+accounts: [kennel-1]
+exceptions:
+  - {id: a, match: {account: kennel-1}, set: {load_bound: 99},
+     author: me, reason: why}
+  - {id: a, match: {account: kennel-9}, set: {load_bound: 2},
+     author: me, reason: "  "}
+"""
+
+UNREACHABLE = """\
+accounts: [kennel-1]
+models: [{name: llm}]
+services: [{name: shop}]
+works: {guide: fastest}
+exceptions:
+  - {id: a, match: {account: kennel-9}, set: {load_bound: 2},
+     author: me, reason: why}
+  - {id: b, match: {model: llm, service: shop}, set: {load_bound: 2},
+     author: me, reason: why}
+  - {id: c, match: {account: kennel-1}, set: {load_bound: 2},
+     author: me, reason: why, expires: 2020-01-01T00:00:00Z}
+  - {id: d, match: {account: kennel-1}, set: {load_bound: 2},
+     author: me, reason: why}
+  - {id: d, match: {account: kennel-1}, set: {load_bound: 3},
+     author: me, reason: why}
+  - {id: e, match: {}, set: {load_bound: 99}, author: me, reason: why}
+"""
+
+
+def check(text: str) -> fleet.Document:
+    """Checks an operator's document."""
+    data, lines = places.load_text(text, "fleet.yaml")
+    return fleet.check(data, lines, "fleet.yaml", NOW_MS)
+
+
+class CheckTest(unittest.TestCase):
+    """All findings of a document, each with its place."""
+
+    def _find(self, text: str) -> list[str]:
+        with self.assertRaises(errors.FindingsError) as caught:
+            check(text)
+        return [str(finding) for finding in caught.exception.findings]
+
+    def test_shape(self):
+        self.assertEqual(
+            self._find(BAD),
+            [
+                "fleet.yaml:1 defaults.load_bond: unknown key; did you mean "
+                "'load_bound'?",
+                "fleet.yaml:9 exceptions.1.reason: String should have at "
+                "least 1 character",
+            ],
+        )
+
+    def test_meaning(self):
+        self.assertEqual(
+            self._find(UNREACHABLE),
+            [
+                "fleet.yaml:4 works.guide: no rank 'fastest'",
+                "fleet.yaml:6 exceptions.0.match.account: can never apply: "
+                "no account 'kennel-9'",
+                "fleet.yaml:8 exceptions.1.match: can never apply: no "
+                "request has a model and a service",
+                "fleet.yaml:11 exceptions.2.expires: can never apply: "
+                "already expired",
+                "fleet.yaml:10 exceptions.2: can never apply: 'd' sets the "
+                "same",
+                "fleet.yaml:12 exceptions.3: can never apply: 'd' sets the "
+                "same",
+                "fleet.yaml:14 exceptions.4.id: id 'd' is used twice",
+                "fleet.yaml:16 exceptions.5.match: matches everything; "
+                "change the defaults",
+                "fleet.yaml:16 exceptions.5.set.load_bound: Input should be "
+                "less than or equal to 10",
+            ],
+        )
+
+
+class ResolveTest(unittest.TestCase):
+    """Exceptions over the defaults."""
+
+    def _make(self, **changes: object) -> fleet.Exception_:
+        data = {
+            "id": "x",
+            "match": {"account": "a"},
+            "set": {"account_weight": 2.0},
+            "reason": "r",
+            "author": "o",
+            **changes,
+        }
+        return fleet.Exception_.model_validate(data)
+
+    def _resolve(self, *items: fleet.Exception_) -> float:
+        resolver = resolve.Resolver(fleet.Document(exceptions=items))
+        scope = fleet.Match(account="a", model="m")
+        return resolver.resolve("account_weight", scope, NOW_MS).value
+
+    def test_default_without_exception(self):
+        self.assertEqual(self._resolve(), 1.0)
+        other = self._make(match={"account": "b"})
+        self.assertEqual(self._resolve(other), 1.0)
+
+    def test_most_specific_then_latest_wins(self):
+        wide = self._make()
+        narrow = self._make(
+            match={"account": "a", "model": "m"}, set={"account_weight": 3.0}
+        )
+        later = self._make(set={"account_weight": 4.0})
+        self.assertEqual(self._resolve(wide, later), 4.0)
+        self.assertEqual(self._resolve(narrow, wide, later), 3.0)
+
+    def test_expired_exception_is_over(self):
+        past = datetime.datetime.fromtimestamp(NOW_MS / 1000 - 1, datetime.UTC)
+        self.assertEqual(self._resolve(self._make(expires=past)), 1.0)
--- a/test/test_props.py
+++ b/test/test_props.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import json
 import random
 import unittest
 
@@ -14,6 +15,7 @@
 from agatedock import answers
 from agatedock import board
 from agatedock import calls
+from agatedock import chat
 from agatedock import claims
 from agatedock import delta
 from agatedock import errors
@@ -21,6 +23,7 @@
 from agatedock import gate
 from agatedock import hashing
 from agatedock import members
+from agatedock import places
 from agatedock import platform
 from agatedock import rankqueue
 from agatedock import retry
@@ -337,6 +340,58 @@
             checker.feed(head + b'\ndata: {"id": ' + marker + b"}\n\n")
 
 
+class BorderTest(unittest.TestCase):
+    """No input breaks what stands at the border."""
+
+    @hypothesis.given(st.binary(max_size=200))
+    def test_chat_bodies(self, data):
+        try:
+            chat.parse(data)
+        except errors.Refusal as refusal:
+            self.assertEqual(refusal.code, errors.Code.BAD_REQUEST)
+
+    @hypothesis.given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.text(max_size=9),
+            lambda inner: (
+                st.lists(inner, max_size=4)
+                | st.dictionaries(
+                    st.sampled_from(
+                        ["model", "messages", "role", "content", "max_tokens"]
+                    ),
+                    inner,
+                    max_size=4,
+                )
+            ),
+        )
+    )
+    def test_chat_bodies_of_json(self, data):
+        try:
+            chat.parse(json.dumps(data).encode())
+        except errors.Refusal as refusal:
+            self.assertEqual(refusal.code, errors.Code.BAD_REQUEST)
+
+    @hypothesis.given(st.text(max_size=200))
+    def test_headers_between_routers(self, header):
+        try:
+            calls.decode_call(header, b"", 0.0)
+        except calls.BadCall:
+            return
+
+    def test_calls_survive_the_hop(self):
+        call = make_call(1, offset=3, excluded=("e1",), deadline=12.5)
+        header = calls.encode_head(call, 10.0)
+        self.assertEqual(calls.decode_call(header, b"", 10.0), call)
+
+    @hypothesis.given(st.text(max_size=200))
+    def test_configuration_files(self, text):
+        try:
+            data, lines = places.load_text(text, "x")
+            fleet.check(data, lines, "x", 0)
+        except errors.FindingsError as error:
+            self.assertTrue(error.findings)
+
+
 class MembersTest(unittest.TestCase):
     """Membership under lost, late, repeated and reordered news."""
 
--- /dev/null
+++ b/test/test_servers.py
@@ -0,0 +1,168 @@
+"""Bad input to a router: a clear typed error each, nothing lost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from standins import fleet
+from test import helper
+
+
+class BadInputTest(unittest.IsolatedAsyncioTestCase):
+    """One router under malformed, oversize, slow and cut requests."""
+
+    async def test_every_bad_request_gets_its_error(self):
+        plan = helper.make_plan(
+            routers=1,
+            engines=1,
+            replicas=1,
+            settings={
+                "limits": {"body_max_bytes": 4096, "body_timeout_ms": 500}
+            },
+            document={"accounts": ["small"]},
+        )
+        async with fleet.Fleet(plan) as running:
+            caller = helper.Caller(running)
+            url = running.routers["router-0"].url
+            chat = f"{url}/v1/chat/completions"
+            good = {"model": "llm", "messages": [{"role": "u", "content": "x"}]}
+            cases = [
+                ("bad_request", {}, "not json"),
+                ("bad_request", {}, json.dumps({"model": "llm"})),
+                ("bad_request", {}, b"\xff\xfe\x00"),
+                ("bad_request", {}, "[" * 2000),
+                ("unknown_model", {}, json.dumps({**good, "model": "no"})),
+                ("too_large", {}, "x" * 5000),
+                ("unknown_account", {"X-Client-Account": "no"}, "{}"),
+                ("bad_request", {"X-Client-Account": "a b"}, "{}"),
+                ("bad_request", {"X-Work": "unheard"}, "{}"),
+                ("bad_request", {"X-Request-Id": "x" * 65}, "{}"),
+                ("bad_request", {"X-Chat-Id": "a;b"}, "{}"),
+                (
+                    "too_large",
+                    {},
+                    json.dumps({**good, "max_tokens": 32768, "pad": "x"})
+                    + " " * 4096,
+                ),
+            ]
+            for code, headers, data in cases:
+                answer = await caller.send("POST", chat, headers, data)
+                with self.subTest(code=code, headers=headers):
+                    self.assertEqual(answer.error["code"], code, data[:50])
+                    self.assertTrue(answer.error["not_run"])
+            answer = await caller.send("GET", f"{url}/svc/none/x")
+            self.assertEqual(answer.error["code"], "unknown_service")
+            await self._send_slow_body(running)
+            await self._cut_body(running)
+            await self._repeat_id(running)
+            answer = await caller.chat(running.routers["router-0"], "c")
+            self.assertTrue(answer.whole)
+
+    async def _send_raw(self, running, length: int, body: bytes) -> tuple:
+        port = running.routers["router-0"].port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = (
+            "POST /svc/shop/orders HTTP/1.1\r\nHost: x\r\n"
+            f"X-Client-Account: small\r\nContent-Length: {length}\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        await writer.drain()
+        return reader, writer
+
+    async def _send_slow_body(self, running) -> None:
+        reader, writer = await self._send_raw(running, 100, b"begun")
+        answer = await asyncio.wait_for(reader.read(2000), 5)
+        self.assertIn(b"408", answer)
+        self.assertIn(b"read_timeout", answer)
+        writer.close()
+
+    async def _cut_body(self, running) -> None:
+        _, writer = await self._send_raw(running, 100, b"cut short")
+        writer.close()
+        await asyncio.sleep(0.3)
+        caller = helper.Caller(running)
+        self.assertEqual(await caller.count_runs("cut short"), 0)
+
+    async def _repeat_id(self, running) -> None:
+        caller = helper.Caller(running)
+        router = running.routers["router-0"]
+        turns = [
+            caller.chat(router, f"c{i}", 30, X_Request_Id="same")
+            for i in range(2)
+        ]
+        answers = await asyncio.gather(*turns)
+        codes = sorted(answer.status for answer in answers)
+        self.assertEqual(codes, [200, 409])
+
+
+class OverloadTest(unittest.IsolatedAsyncioTestCase):
+    """What is given up on is answered at once and truly did not run."""
+
+    async def test_refusals_come_at_once_and_are_true(self):
+        plan = helper.make_plan(
+            routers=2,
+            engines=1,
+            replicas=1,
+            document={
+                "defaults": {"engine_slots": 2},
+                "ranks": [
+                    {
+                        "name": name,
+                        "first_token_ms": 500,
+                        "worth": 1,
+                        "floor_share": 0.3,
+                    }
+                    for name in ("urgent", "normal", "low")
+                ],
+            },
+        )
+        async with fleet.Fleet(plan) as running:
+            caller = helper.Caller(running)
+            routers = list(running.routers.values())
+            turns = [
+                caller.chat(routers[i % 2], f"c{i}", 60, X_Request_Id=f"id-{i}")
+                for i in range(30)
+            ]
+            answers = await asyncio.gather(*turns)
+            refused = [i for i, a in enumerate(answers) if a.status == 429]
+            self.assertGreater(len(refused), 10)
+            runs = (await running.read(running.upstreams["llm-0"]))["runs"]
+            ran = {run["request_id"].rpartition(".")[0] for run in runs}
+            for index in refused:
+                error = answers[index].error
+                self.assertTrue(error["not_run"])
+                self.assertGreater(error["retry_after_ms"], 0)
+                self.assertIn("Retry-After", answers[index].headers)
+                self.assertNotIn(f"id-{index}", ran)
+            for answer in answers:
+                self.assertTrue(answer.status == 429 or answer.whole)
+
+    async def test_urgent_work_goes_first_and_others_go_on(self):
+        plan = helper.make_plan(
+            routers=1, engines=1, document={"defaults": {"engine_slots": 2}}
+        )
+        async with fleet.Fleet(plan) as running:
+            caller = helper.Caller(running)
+            router = running.routers["router-0"]
+            low = [
+                asyncio.create_task(
+                    caller.chat(router, f"low{i}", 100, work="tag")
+                )
+                for i in range(2)
+            ]
+            await asyncio.sleep(0.7)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            urgent = await caller.chat(router, "urgent", 10, work="plan")
+            # Two low answers of two seconds each hold all slots.
+            self.assertLess(loop.time() - started, 1.2)
+            self.assertTrue(urgent.whole)
+            for answer in await asyncio.gather(*low):
+                self.assertTrue(answer.whole, answer.raw[-200:])
+                self.assertEqual(
+                    answer.tokens(), helper.expect_tokens("hello", 100)
+                )
+            runs = (await running.read(running.upstreams["llm-0"]))["runs"]
+            self.assertEqual(len(runs), 4)
--- /dev/null
+++ b/test/test_settings.py
@@ -0,0 +1,66 @@
+"""Settings: layers, places of findings, near keys."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+import unittest
+
+from agatedock import errors
+from agatedock import settings
+
+
+class SettingsTest(unittest.TestCase):
+    """Three layers checked together."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self._path = pathlib.Path(folder.name) / "router.yaml"
+
+    def _load(self, text: str, *options: str) -> settings.Settings:
+        self._path.write_text(text)
+        return settings.load(self._path, list(options))
+
+    def test_later_layers_win(self):
+        text = "name: r1\nfailure_domain: a\nhome: {quiet_ms: 900}\n"
+        config = self._load(text, "home.quiet_ms=700", "log.level=debug")
+        self.assertEqual(config.home.quiet_ms, 700)
+        self.assertEqual(config.log.level, "debug")
+        self.assertEqual(config.home.load_poll_ms, 500)
+
+    def test_all_findings_come_together_with_their_places(self):
+        text = (
+            "name: r1\n"
+            "failure_domain: a\n"
+            "home:\n"
+            "  quiet_mss: 900\n"
+            "listen:\n"
+            "  caller_port: 70000\n"
+        )
+        with self.assertRaises(errors.FindingsError) as caught:
+            self._load(text)
+        shown = str(caught.exception).replace(str(self._path), "router.yaml")
+        self.assertEqual(
+            shown.splitlines(),
+            [
+                "router.yaml:6 listen.caller_port: Input should be less than "
+                "or equal to 65535",
+                "router.yaml:4 home.quiet_mss: unknown key; did you mean "
+                "'quiet_ms'?",
+            ],
+        )
+
+    def test_missing_name_is_found(self):
+        with self.assertRaises(errors.FindingsError) as caught:
+            settings.load(None, ["failure_domain=a"])
+        self.assertIn("name", str(caught.exception))
+
+    def test_bad_yaml_has_a_place(self):
+        with self.assertRaises(errors.FindingsError) as caught:
+            self._load("name: r1\nhome: [\n")
+        self.assertIn("router.yaml:3", str(caught.exception))
+
+    def test_option_without_value_is_refused(self):
+        with self.assertRaises(errors.UserError):
+            self._load("name: r1\nfailure_domain: a\n", "home.quiet_ms")
