Give engines their orders by one lease holder a model

Cause: nothing told engines to load versions and adapters or change role.

A router counts itself slow only after several peers in a row were silent: with 24 routers a death was not known to all within 10 s, because each observer lengthened its own waits by the probes that the dead peer did not answer.

--- a/agatedock/compose.py
+++ b/agatedock/compose.py
@@ -10,10 +10,10 @@
 import random
 import time
 
-import aiohttp
 from aiohttp import web
 
 from agatedock import chat
+from agatedock import clients
 from agatedock import enginecall
 from agatedock import errors
 from agatedock import explain
@@ -29,7 +29,6 @@
 from agatedock import metrics
 from agatedock import pause
 from agatedock import plain
-from agatedock import platform
 from agatedock import relay
 from agatedock import reports
 from agatedock import retry
@@ -47,31 +46,10 @@
 SYNC_TRIES = 3
 STOP_LINGER_S = 1.0
 STATE_MAX_AGE_S = 10.0
-CONNECTIONS_MAX = 0
 
 _log = logging.getLogger(__name__)
 
 
-def open_key_value(config: settings.Platform) -> platform.KeyValue:
-    """Returns the client of the key-value service that settings name."""
-    return platform.key_values.get(config.key_value)(config.key_value_url)
-
-
-def make_single_use_client() -> aiohttp.ClientSession:
-    """Returns a client that sends each request once, on its own connection.
-
-    A fresh connection keeps a stale one from making an outcome unknown.
-    """
-    session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(force_close=True, limit=CONNECTIONS_MAX),
-        auto_decompress=False,
-    )
-    # aiohttp sends PUT and DELETE again if the connection closes before an
-    # answer; it offers no public switch for that.
-    session._retry_connection = False  # noqa: SLF001
-    return session
-
-
 @dataclasses.dataclass(frozen=True)
 class Ports:
     """Ports that a running router listens on."""
@@ -95,10 +73,8 @@
         self._upstreams = upstreams.View()
         self._records = explain.Records()
         self._metrics = metrics.Metrics()
-        self._kv = open_key_value(config.platform)
-        self._vms = platform.vm_lists.get(config.platform.vm_list)(
-            config.platform.vm_list_url
-        )
+        self._kv = clients.open_key_value(config.platform)
+        self._vms = clients.open_vm_list(config.platform)
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.AppRunner] = []
         self.ports = Ports(0, 0, 0, 0)
@@ -119,11 +95,8 @@
 
     def _make_parts(self, now: float) -> None:
         """Wires all parts; nothing runs yet."""
-        self._client = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=CONNECTIONS_MAX),
-            auto_decompress=False,
-        )
-        self._single_use_client = make_single_use_client()
+        self._client = clients.make_client()
+        self._single_use_client = clients.make_single_use_client()
         self._make_table(now)
         self._make_home()
         self._make_talk()
--- a/agatedock/fleet.py
+++ b/agatedock/fleet.py
@@ -36,6 +36,7 @@
       retry_ratio: Retries allowed for each first try.
       claim_ttl_ms: How long the answer to a keyed request is kept.
       placement: Placement strategy plug-in.
+      weight_loads_per_min: Most loads from the weight store over all models.
     """
 
     load_bound: Annotated[float, pydantic.Field(ge=1.0, le=10.0)] = 1.5
@@ -47,6 +48,7 @@
     retry_ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
     claim_ttl_ms: Annotated[int, pydantic.Field(ge=1000)] = 86_400_000
     placement: str = "bounded"
+    weight_loads_per_min: Annotated[float, pydantic.Field(gt=0)] = 6.0
 
 
 class Rank(_Part):
@@ -65,9 +67,23 @@
 
 
 class Model(_Part):
-    """A model served by engines."""
+    """A model served by engines.
+
+    Attributes:
+      version: Version that every engine is to load; empty leaves it alone.
+      adapters: Adapters that every engine is to hold.
+      role: Role of the engines; empty leaves it alone.
+      roles: Roles of single engines by name.
+      checks_fence: Whether the engines refuse orders with an old fencing
+        number; if not, a holder acts only well inside its lease.
+    """
 
     name: _Text
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+    roles: dict[str, str] = {}
+    checks_fence: bool = True
 
 
 class Service(_Part):
--- a/agatedock/gossip.py
+++ b/agatedock/gossip.py
@@ -222,8 +222,9 @@
             member = self.table.members.get(name)
             if member is None or member.status == wire.Status.DEAD:
                 return
-            if await self._check_peer(member):
-                self.table.speed_up()
+            alive = await self._check_peer(member)
+            self.table.note_probe(alive)
+            if alive:
                 continue
             news = self.table.suspect(name, time.monotonic())
             if news is not None:
@@ -234,7 +235,6 @@
         # A second direct probe separates a lost datagram from a lost peer.
         if await self._probe(member) or await self._probe(member):
             return True
-        self.table.slow_down()
         helpers = [
             m
             for m in self.table.list_peers()
--- /dev/null
+++ b/agatedock/lease.py
@@ -0,0 +1,140 @@
+"""Leases in the key-value service, with fencing numbers that only grow."""
+
+from __future__ import annotations
+
+import dataclasses
+import uuid
+
+import pydantic
+
+from agatedock import errors
+from agatedock import platform
+
+LEASE_PREFIX = "agatedock/lease/"
+FENCE_PREFIX = "agatedock/fence/"
+# Part of the term that is left unused, against clocks that run unevenly.
+MARGIN_SHARE = 0.1
+TRIES = 3
+
+
+class Record(pydantic.BaseModel):
+    """A stored lease.
+
+    Attributes:
+      holder: Name of the process, for people.
+      token: Tells one acquisition from another.
+    """
+
+    holder: str
+    token: str
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Held:
+    """A lease that this process holds.
+
+    Attributes:
+      version: Version of the stored record.
+      valid_until: Monotonic time in seconds after which it must not act.
+    """
+
+    scope: str
+    record: Record
+    version: int
+    valid_until: float
+
+    def may_act(self, now: float, need_s: float) -> bool:
+        """Tells whether an act that takes up to need_s ends inside the term."""
+        return now + need_s <= self.valid_until
+
+
+class Lease:
+    """One process's part in the lease of one scope."""
+
+    def __init__(
+        self, kv: platform.KeyValue, scope: str, holder: str, term_s: float
+    ):
+        self._kv = kv
+        self._key = LEASE_PREFIX + scope
+        self._fence_key = FENCE_PREFIX + scope
+        self._scope = scope
+        self._holder = holder
+        self._term_s = term_s
+
+    async def acquire(self, now: float) -> Held | None:
+        """Takes the lease if nobody holds it.
+
+        The term counts from `now`, which lies before the write, so this
+        process stops before the service lets another one in.
+
+        Raises:
+          errors.Unavailable: No answer came; the lease is not held.
+        """
+        if await self._kv.get(self._key) is not None:
+            return None
+        fence = await self._raise_fence(0)
+        record = Record(
+            holder=self._holder, token=uuid.uuid4().hex, fence=fence
+        )
+        version = await self._write(record, 0)
+        return self._make_held(record, version, now) if version else None
+
+    async def renew(self, held: Held, now: float) -> Held | None:
+        """Extends the lease; returns None if it is lost.
+
+        Raises:
+          errors.Unavailable: No answer came; the old term still counts.
+        """
+        version = await self._write(held.record, held.version)
+        return self._make_held(held.record, version, now) if version else None
+
+    async def outbid(self, held: Held, seen: int, now: float) -> Held | None:
+        """Takes a number above one that an engine has seen.
+
+        A restored service may have handed out numbers anew.
+
+        Raises:
+          errors.Unavailable: No answer came.
+        """
+        fence = await self._raise_fence(seen)
+        record = held.record.model_copy(update={"fence": fence})
+        version = await self._write(record, held.version)
+        return self._make_held(record, version, now) if version else None
+
+    def _make_held(self, record: Record, version: int, now: float) -> Held:
+        until = now + self._term_s * (1 - MARGIN_SHARE)
+        return Held(self._scope, record, version, until)
+
+    async def _raise_fence(self, above: int) -> int:
+        """Returns a number that no other process gets."""
+        for _ in range(TRIES):
+            entry = await self._kv.get(self._fence_key)
+            stored = int(entry.value) if entry else 0
+            version = entry.version if entry else 0
+            number = max(stored, above) + 1
+            try:
+                await self._kv.put(
+                    self._fence_key, str(number).encode(), version
+                )
+                return number
+            except (errors.Conflict, errors.Unavailable):
+                # A number whose answer was lost is left unused.
+                continue
+        raise errors.Unavailable(f"no fencing number for {self._scope}")
+
+    async def _write(self, record: Record, expected: int) -> int:
+        """Stores the lease; returns its version or 0 if another was first."""
+        data = record.model_dump_json().encode()
+        try:
+            return await self._kv.put(
+                self._key, data, expected, int(self._term_s * 1000)
+            )
+        except errors.Conflict:
+            return 0
+        except errors.Unavailable:
+            entry = await self._kv.get(self._key)
+            if entry is None or entry.value != data:
+                return 0
+            # The write took effect at some time after `now`: still safe.
+            return entry.version if entry.version != expected else 0
--- a/agatedock/members.py
+++ b/agatedock/members.py
@@ -62,6 +62,7 @@
         self._suspicion_s = suspicion_s
         self._forget_s = forget_s
         self._slowness = 0
+        self._misses = 0
         self.own = own
         self.members: dict[str, Member] = {own.name: Member(own, now)}
         self.changed_at = now
@@ -199,9 +200,19 @@
         """Notes a sign that this router itself may be slow."""
         self._slowness = min(MAX_SLOWNESS, self._slowness + 1)
 
-    def speed_up(self) -> None:
-        """Notes an answer in time."""
-        self._slowness = max(0, self._slowness - 1)
+    def note_probe(self, answered: bool) -> None:
+        """Notes whether a probe was answered.
+
+        One silent peer may be dead; several in a row without an answer in
+        between are a sign that this router itself is slow or cut off.
+        """
+        if answered:
+            self._misses = 0
+            self._slowness = max(0, self._slowness - 1)
+            return
+        self._misses += 1
+        if self._misses > 1:
+            self.slow_down()
 
     def list_up(self) -> list[Member]:
         """Returns the members that take requests; suspected ones still do.
--- a/agatedock/settings.py
+++ b/agatedock/settings.py
@@ -79,6 +79,14 @@
     diversions_max: _Count
 
 
+class Steward(_Section):
+    """Conduct of the steward."""
+
+    lease_ms: _Millis
+    order_timeout_ms: _Millis
+    poll_ms: _Millis
+
+
 class Log(_Section):
     """Logging."""
 
@@ -97,6 +105,7 @@
     limits: Limits
     gossip: Gossip
     home: Home
+    steward: Steward
     log: Log
 
 
--- /dev/null
+++ b/agatedock/steward.py
@@ -0,0 +1,230 @@
+"""Gives engines their orders: one lease holder for each model."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import aiohttp
+import pydantic
+
+from agatedock import errors
+from agatedock import fleet
+from agatedock import hashing
+from agatedock import lease
+from agatedock import logs
+from agatedock import orders
+from agatedock import platform
+from agatedock import settings
+from agatedock import store
+
+CANDIDATES = 2
+MINUTE_S = 60.0
+
+_log = logging.getLogger(__name__)
+
+
+class Refused(Exception):  # noqa: N818
+    """An engine has seen a higher fencing number.
+
+    Attributes:
+      seen: That number.
+    """
+
+    def __init__(self, seen: int):
+        self.seen = seen
+        super().__init__(f"fencing number {seen} was seen")
+
+
+class Steward:
+    """One task for each model; the lease holder gives the orders."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        kv: platform.KeyValue,
+        vms: platform.VmList,
+        client: aiohttp.ClientSession,
+    ):
+        self._name = config.name
+        self._config = config.steward
+        self._kv = kv
+        self._vms = vms
+        self._client = client
+        self._rows: list[platform.Vm] = []
+        self._document = fleet.Document()
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self.held: dict[str, lease.Held] = {}
+
+    async def run(self) -> None:
+        """Keeps one task for each model until cancelled."""
+        try:
+            while True:
+                await self._read_platform()
+                for model in self._document.models:
+                    if model.name not in self._tasks:
+                        task = asyncio.create_task(self._tend(model.name))
+                        self._tasks[model.name] = task
+                await asyncio.sleep(self._config.poll_ms / 1000)
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    async def _read_platform(self) -> None:
+        try:
+            rows = await self._vms.read()
+            if rows is not None:
+                self._rows = rows
+            stored = await store.read(self._kv)
+        except (errors.Unavailable, pydantic.ValidationError) as error:
+            logs.event(_log, "platform_unavailable", problem=str(error))
+            return
+        if stored.document.revision >= self._document.revision:
+            self._document = stored.document
+
+    def _is_candidate(self, model: str) -> bool:
+        """Tells whether this process is one of the few to try for a lease.
+
+        All stewards asking for all leases would cost the service more reads
+        than everything else.
+        """
+        names = {r.name for r in self._rows if r.role == "router"}
+        ranked = hashing.rank(f"steward {model}", names | {self._name})
+        return self._name in ranked[:CANDIDATES]
+
+    async def _tend(self, model: str) -> None:
+        """Tries for a model's lease and gives orders while it is held."""
+        own = lease.Lease(
+            self._kv, model, self._name, self._config.lease_ms / 1000
+        )
+        pace = orders.Pace()
+        while True:
+            try:
+                await self._keep_lease(model, own)
+                if model in self.held:
+                    await self._give_orders(model, own, pace)
+            except errors.Unavailable as error:
+                logs.event(
+                    _log, "steward_waits", scope=model, problem=str(error)
+                )
+            await asyncio.sleep(self._config.poll_ms / 1000)
+
+    async def _keep_lease(self, model: str, own: lease.Lease) -> None:
+        now = time.monotonic()
+        held = self.held.get(model)
+        if held is not None:
+            renewed = None
+            if held.may_act(now, 0.0):
+                renewed = await own.renew(held, now)
+            self._set_held(model, renewed)
+        elif self._is_candidate(model):
+            taken = await own.acquire(now)
+            if taken is None:
+                return
+            # Orders of the former holder may still be on their way.
+            await asyncio.sleep(self._config.order_timeout_ms / 1000)
+            self._set_held(model, taken)
+
+    def _set_held(self, model: str, held: lease.Held | None) -> None:
+        before = self.held.pop(model, None)
+        if held is not None:
+            self.held[model] = held
+        if (before is None) != (held is None):
+            logs.event(
+                _log,
+                "lease_taken" if held else "lease_lost",
+                scope=model,
+                fence=held.record.fence if held else 0,
+            )
+
+    async def _give_orders(
+        self, name: str, own: lease.Lease, pace: orders.Pace
+    ) -> None:
+        model = self._document.find_model(name)
+        if model is None:
+            return
+        rows = {
+            r.name: r
+            for r in self._rows
+            if r.service == name and r.state == platform.VmState.LIVE
+        }
+        states = await self._read_states(rows)
+        # The rate of the weight store is shared by all models.
+        rate = self._document.defaults.weight_loads_per_min
+        gap_s = MINUTE_S / rate * max(1, len(self._document.models))
+        for order in orders.plan(model, states):
+            if order.heavy and not pace.take(time.monotonic(), gap_s):
+                continue
+            try:
+                await self._send(self.held[name], rows[order.engine], order)
+            except Refused as refusal:
+                held = await own.outbid(
+                    self.held[name], refusal.seen, time.monotonic()
+                )
+                self._set_held(name, held)
+                return
+
+    async def _read_states(
+        self, rows: dict[str, platform.Vm]
+    ) -> dict[str, orders.EngineState]:
+        found = await asyncio.gather(
+            *(self._read_state(row) for row in rows.values())
+        )
+        return {
+            name: state
+            for name, state in zip(rows, found, strict=True)
+            if state is not None
+        }
+
+    async def _read_state(self, row: platform.Vm) -> orders.EngineState | None:
+        url = f"http://{row.host}:{row.port}/state"
+        try:
+            async with self._client.get(url, timeout=self._timeout()) as reply:
+                return orders.EngineState.model_validate_json(
+                    await reply.read()
+                )
+        except (aiohttp.ClientError, TimeoutError, pydantic.ValidationError):
+            return None
+
+    def _timeout(self) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(total=self._config.order_timeout_ms / 1000)
+
+    async def _send(
+        self, held: lease.Held, row: platform.Vm, order: orders.Order
+    ) -> None:
+        """Sends one order, if it surely ends inside the lease's term.
+
+        Raises:
+          Refused: The engine has seen a higher fencing number.
+        """
+        body = {
+            "fence": held.record.fence,
+            "action": order.action,
+            "argument": order.argument,
+        }
+        need_s = self._config.order_timeout_ms / 1000
+        # Checked just before the send: some engines ignore old numbers.
+        if not held.may_act(time.monotonic(), need_s):
+            return
+        url = f"http://{row.host}:{row.port}/orders"
+        outcome = "sent"
+        try:
+            async with self._client.post(
+                url, json=body, timeout=self._timeout()
+            ) as reply:
+                if reply.status == 409:
+                    raise Refused(int(await reply.text()))
+                outcome = f"status {reply.status}"
+        except (aiohttp.ClientError, TimeoutError) as error:
+            # The next reading of the engine's state shows what became of it.
+            outcome = repr(error)
+        logs.event(
+            _log,
+            "order",
+            upstream=order.engine,
+            action=order.action,
+            argument=order.argument,
+            fence=held.record.fence,
+            outcome=outcome,
+        )
--- a/agatedock/ui/config.py
+++ b/agatedock/ui/config.py
@@ -27,6 +27,7 @@
 WAIT_S = 6.0
 WAIT_STEP_S = 0.2
 OFFER_ROUTERS = 3
+KEY_VALUE = "http"
 # Fields that the commands fill in, not the operator.
 _STAMPS = {"revision", "accepted_ms", "author", "reason"}
 _EXIT_CODES = {
@@ -266,7 +267,7 @@
         raise common.Exit(
             common.EXIT_USAGE, "--key-value or AGATEDOCK_KEY_VALUE is needed"
         )
-    return platform.key_values.get("http")(command.key_value)
+    return platform.key_values.get(KEY_VALUE)(command.key_value)
 
 
 async def _with_store(command: common.Target, work) -> Any:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -86,6 +86,11 @@
         self._loads: list[tuple[float, int]] = [(time.monotonic(), 0)]
         self._peak = 0
         self._runs: list[dict] = []
+        self._load_s = arguments.load_ms / 1000
+        self._ignores_fence = arguments.ignores_fence
+        self._state = {"version": "", "adapters": [], "role": "", "fence": 0}
+        self._loading_until = 0.0
+        self._orders: list[dict] = []
 
     def make_app(self) -> web.Application:
         """Returns the application."""
@@ -93,6 +98,8 @@
         app.router.add_post("/v1/chat/completions", self._serve)
         app.router.add_delete("/v1/requests/{id}", self._cancel)
         app.router.add_get("/load", self._report)
+        app.router.add_get("/state", self._show_state)
+        app.router.add_post("/orders", self._take_order)
         app.router.add_get("/record", self._record)
         host.add_faults(app, self.faults)
         app.on_startup.append(self._start)
@@ -329,6 +336,33 @@
             }
         )
 
+    # Orders.
+
+    async def _show_state(self, _: web.Request) -> web.Response:
+        loading = time.monotonic() < self._loading_until
+        return web.json_response({**self._state, "loading": loading})
+
+    async def _take_order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        seen = self._state["fence"]
+        if order["fence"] < seen and not self._ignores_fence:
+            return web.Response(status=409, text=str(seen))
+        self._state["fence"] = max(seen, order["fence"])
+        self._orders.append({**order, "at": time.monotonic()})
+        argument = order["argument"]
+        match order["action"]:
+            case "load":
+                self._state["version"] = argument
+            case "add_adapter":
+                self._state["adapters"].append(argument)
+            case "drop_adapter":
+                self._state["adapters"].remove(argument)
+            case "set_role":
+                self._state["role"] = argument
+        if order["action"] in ("load", "add_adapter"):
+            self._loading_until = time.monotonic() + self._load_s
+        return web.Response()
+
     async def _record(self, _: web.Request) -> web.Response:
         return web.json_response(
             {
@@ -337,6 +371,7 @@
                 "running": len(self._taken),
                 "runs": self._runs,
                 "loads": self._loads,
+                "orders": self._orders,
             }
         )
 
@@ -358,6 +393,8 @@
     parser.add_argument("--prefill-per-s", type=float, default=8000.0)
     parser.add_argument("--cache-tokens", type=int, default=200_000)
     parser.add_argument("--lag-ms", type=float, default=300.0)
+    parser.add_argument("--load-ms", type=float, default=300.0)
+    parser.add_argument("--ignores-fence", action="store_true")
     arguments = parser.parse_args()
     host.run(Engine(arguments).make_app(), arguments)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -207,18 +207,7 @@
 
     async def start_router(self, name: str, domain: str) -> Process:
         """Starts a router and lists it."""
-        settings = {
-            "name": name,
-            "failure_domain": domain,
-            "platform": {
-                "key_value_url": self.kv.url,
-                "vm_list_url": f"{self.vms.url}/vms",
-            },
-        }
-        for section, values in self.plan.settings.items():
-            settings.setdefault(section, {}).update(values)
-        path = self.folder / f"{name}.yaml"
-        path.write_text(yaml.safe_dump(settings))
+        path = self._write_settings(name, domain)
         process = await self._start(
             name, "-m", "agatedock.ui.router", "--settings", str(path)
         )
@@ -236,6 +225,35 @@
         )
         return process
 
+    def _write_settings(self, name: str, domain: str) -> pathlib.Path:
+        """Writes the settings file of a router or steward."""
+        settings: dict[str, Any] = {
+            "name": name,
+            "failure_domain": domain,
+            "platform": {
+                "key_value_url": self.kv.url,
+                "vm_list_url": f"{self.vms.url}/vms",
+            },
+        }
+        for section, values in self.plan.settings.items():
+            settings.setdefault(section, {}).update(values)
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return path
+
+    async def start_steward(self, name: str) -> Process:
+        """Starts a steward."""
+        path = self._write_settings(name, "a")
+        process = await self._start(
+            f"{name}-steward",
+            "-m",
+            "agatedock.ui.steward",
+            "--settings",
+            str(path),
+        )
+        self.extra.append(process)
+        return process
+
     async def _start(self, name: str, *arguments: str) -> Process:
         log = os.environ.get("AGATEDOCK_LOGS")
         target = self.folder / f"{name}.log"
--- /dev/null
+++ b/test/test_steward.py
@@ -0,0 +1,214 @@
+"""Orders to engines: one holder, fencing numbers, pace."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from agatedock import errors
+from agatedock import fleet as fleetdoc
+from agatedock import lease
+from agatedock import orders
+from agatedock import platform
+from standins import fleet
+from test import helper
+
+helper.load_profile()
+
+TERM_S = 10.0
+
+
+class TimedStore:
+    """A key-value service in memory with TTLs on a clock of the test."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.fault = "ok"
+        self._values: dict[str, tuple[bytes, int, float]] = {}
+        self._version = 0
+
+    async def get(self, key: str) -> platform.Entry | None:
+        """Reads a key that has not run out."""
+        if self.fault == "drop":
+            raise errors.Unavailable("script")
+        value = self._values.get(key)
+        if value is None or self.now >= value[2]:
+            return None
+        return platform.Entry(key, value[0], value[1])
+
+    async def put(
+        self, key: str, value: bytes, expected: int, ttl_ms: int = 0
+    ) -> int:
+        """Writes by compare-and-swap; a lost answer comes after the write."""
+        if self.fault == "drop":
+            raise errors.Unavailable("script")
+        current = self._values.get(key)
+        live = current is not None and self.now < current[2]
+        if (current[1] if live else 0) != expected:
+            raise errors.Conflict(key)
+        self._version += 1
+        until = self.now + ttl_ms / 1000 if ttl_ms else float("inf")
+        self._values[key] = (value, self._version, until)
+        if self.fault == "lose":
+            raise errors.Unavailable("script")
+        return self._version
+
+
+class LeaseTest(unittest.TestCase):
+    """At most one process may act at any time."""
+
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 2),
+                st.floats(0.0, 6.0),
+                st.sampled_from(["ok", "ok", "lose", "drop"]),
+                st.floats(0.0, 3.0),
+            ),
+            max_size=40,
+        )
+    )
+    def test_terms_never_overlap_and_numbers_only_grow(self, steps):
+        kv = TimedStore()
+        leases = [lease.Lease(kv, "m", f"s{i}", TERM_S) for i in range(3)]
+        held: dict[int, lease.Held] = {}
+        fences: list[int] = []
+
+        async def step(index: int, started: float) -> lease.Held | None:
+            known = held.get(index)
+            if known is not None and known.may_act(kv.now, 0.0):
+                return await leases[index].renew(known, started)
+            return await leases[index].acquire(started)
+
+        for index, pause_s, fault, late_s in steps:
+            kv.now += pause_s
+            started = kv.now
+            # The process may stand still between its clock and its write.
+            kv.now += late_s
+            kv.fault = fault
+            try:
+                result = asyncio.run(step(index, started))
+            except errors.Unavailable:
+                continue
+            held.pop(index, None)
+            if result is not None:
+                held[index] = result
+                if not fences or result.record.fence != fences[-1]:
+                    fences.append(result.record.fence)
+            acting = [h for h in held.values() if h.may_act(kv.now, 0.0)]
+            self.assertLessEqual(len(acting), 1)
+        self.assertEqual(fences, sorted(set(fences)))
+
+
+class PlanTest(unittest.TestCase):
+    """Which orders are due."""
+
+    def _make_states(self, **changes: object) -> dict:
+        return {
+            f"e{i}": orders.EngineState.model_validate(changes)
+            for i in range(3)
+        }
+
+    def test_one_engine_of_a_model_loads_at_a_time(self):
+        model = fleetdoc.Model(name="m", version="v2")
+        states = self._make_states(version="v1")
+        self.assertEqual([o.engine for o in orders.plan(model, states)], ["e0"])
+        states["e0"].loading = True
+        self.assertEqual(orders.plan(model, states), [])
+
+    def test_light_orders_go_to_all(self):
+        model = fleetdoc.Model(name="m", role="decode", roles={"e1": "prefill"})
+        due = orders.plan(model, self._make_states())
+        self.assertEqual(
+            [(o.engine, o.argument) for o in due],
+            [("e0", "decode"), ("e1", "prefill"), ("e2", "decode")],
+        )
+
+    def test_nothing_is_due_where_all_is_as_configured(self):
+        model = fleetdoc.Model(name="m", version="v1", adapters=("a",))
+        states = self._make_states(version="v1", adapters=("a",))
+        self.assertEqual(orders.plan(model, states), [])
+
+    @hypothesis.given(st.lists(st.floats(0.0, 5.0), max_size=50))
+    def test_loads_keep_the_pace(self, pauses):
+        pace, now, taken = orders.Pace(), 100.0, []
+        for pause_s in pauses:
+            now += pause_s
+            if pace.take(now, 4.0):
+                taken.append(now)
+        gaps = [b - a for a, b in zip(taken, taken[1:], strict=False)]
+        self.assertTrue(all(gap >= 4.0 for gap in gaps))
+
+
+class StewardTest(unittest.IsolatedAsyncioTestCase):
+    """Stewards as processes."""
+
+    async def test_paused_holder_is_replaced_and_its_number_is_old(self):
+        settings = {
+            "steward": {
+                "lease_ms": 2000,
+                "poll_ms": 300,
+                "order_timeout_ms": 300,
+            }
+        }
+        document = {
+            "defaults": {"weight_loads_per_min": 120},
+            "models": [{"name": "llm", "version": "v1", "adapters": ["x"]}],
+        }
+        plan = helper.make_plan(
+            routers=2, engines=3, settings=settings, document=document
+        )
+        async with fleet.Fleet(plan) as running:
+            stewards = [
+                await running.start_steward(f"router-{i}") for i in range(2)
+            ]
+            await self._wait_for(running, "v1")
+            holder = await self._find_holder(running, stewards)
+            holder.signal(signal.SIGSTOP)
+            document["models"][0]["version"] = "v2"
+            path = running.folder / "next.yaml"
+            path.write_text(fleet.yaml.safe_dump(document))
+            code, output = await running.operate(
+                "config", "edit", str(path), "--reason", "new version"
+            )
+            self.assertEqual(code, 0, output)
+            await self._wait_for(running, "v2")
+            holder.signal(signal.SIGCONT)
+            await asyncio.sleep(1.0)
+            for name in ("llm-0", "llm-1", "llm-2"):
+                record = await running.read(running.upstreams[name])
+                fences = [order["fence"] for order in record["orders"]]
+                self.assertEqual(fences, sorted(fences))
+                self.assertGreater(len(set(fences)), 1)
+                loads = [
+                    o["argument"]
+                    for o in record["orders"]
+                    if o["action"] == "load"
+                ]
+                self.assertEqual(loads, ["v1", "v2"])
+
+    async def _wait_for(self, running: fleet.Fleet, version: str) -> None:
+        async with asyncio.timeout(20):
+            while True:
+                states = [
+                    await running.read(running.upstreams[f"llm-{i}"], "/state")
+                    for i in range(3)
+                ]
+                if all(
+                    s["version"] == version and s["adapters"] == ["x"]
+                    for s in states
+                ):
+                    return
+                await asyncio.sleep(0.1)
+
+    async def _find_holder(
+        self, running: fleet.Fleet, stewards: list[fleet.Process]
+    ) -> fleet.Process:
+        url = f"{running.kv.url}/kv/agatedock/lease/llm"
+        async with running.http.get(url) as response:
+            name = (await response.json(content_type=None))["holder"]
+        return next(s for s in stewards if s.name.startswith(name))
