--- a/agatedock/gate.py
+++ b/agatedock/gate.py
@@ -35,6 +35,7 @@
 PREEMPTIONS_MAX = 2
 SHED_STEP = 0.5
 SHED_DECAY = 0.8
+SHED_DROP = 0.3
 SHED_REFUSED_SHARE = 0.05
 SHED_MAX = 0.98
 
@@ -80,9 +81,29 @@
         return min(self.bound, self.slots)
 
 
-def compute_bound(multiple: float, mean: float, floor: int) -> int:
-    """Returns the most requests on one engine for a mean load."""
-    return max(floor, math.ceil(multiple * mean))
+@dataclasses.dataclass(frozen=True)
+class Mean:
+    """Mean load of a model's engines as far as a home knows it.
+
+    Attributes:
+      likely: The mean by the last news of all homes.
+      low: A mean that the true one is rarely below.
+    """
+
+    likely: float
+    low: float
+
+
+def compute_bound(multiple: float, mean: Mean, floor: int) -> int:
+    """Returns the most requests on one engine for a mean load.
+
+    The low mean keeps the bound while the true mean falls unseen. One request
+    above the likely mean is always let through, or engines that are all at
+    the bound would keep the mean from growing with demand.
+    """
+    safe = math.ceil(multiple * mean.low)
+    step = min(math.floor(mean.likely) + 1, math.ceil(multiple * mean.likely))
+    return max(floor, safe, step)
 
 
 @dataclasses.dataclass
@@ -181,8 +202,8 @@
         if room > kept and not len(self.queue):
             return Decision(Choice.RUN, "room on the engine")
         full = self.load() >= limits.slots
-        if full and self.choose_victim(call.rank, limits) is not None:
-            return Decision(Choice.PREEMPT, "takes back a slot of its floor")
+        if full and self.choose_victim(call, limits) is not None:
+            return Decision(Choice.PREEMPT, "takes back a slot")
         wait_s = self.expect_wait_s(call)
         if can_divert and wait_s > self._patience_s(call, cached_tokens, now):
             return Decision(Choice.DIVERT, "another engine is sooner", wait_s)
@@ -260,30 +281,63 @@
             share = work / max(1, run.call.work_tokens)
             self.actual_share += SMOOTHING * (share - self.actual_share)
 
-    def choose_victim(self, rank: int, limits: Limits) -> Run | None:
-        """Returns the run that gives its slot to a rank below its floor.
+    def choose_victim(self, call: calls.ChatCall, limits: Limits) -> Run | None:
+        """Returns the run that gives its slot to a new request.
 
-        Floors are lent while their rank needs less; this takes one back. Of
-        the least urgent runs it is the latest, which has the least to lose.
+        Floors and fair shares are lent while their owners need less; this
+        takes a slot back. It is the latest run of the least urgent rank, or
+        of the account furthest above its share, with the least to lose.
         """
-        running = self.running_by_rank()
-        stopping = sum(run.preempted for run in self.runs.values())
-        running[rank] += stopping
-        if not self.queue.is_below_floor(rank, running, limits.slots):
-            return None
-        candidates = [
+        able = [
             run
             for run in self.runs.values()
-            if run.call.rank > rank
-            and not run.preempted
-            and run.call.preemptions < PREEMPTIONS_MAX
+            if not run.preempted and run.call.preemptions < PREEMPTIONS_MAX
         ]
+        victim = self._choose_by_floor(call, able, limits)
+        return victim or self._choose_by_share(call, able)
+
+    def _choose_by_floor(
+        self, call: calls.ChatCall, able: list[Run], limits: Limits
+    ) -> Run | None:
+        running = self.running_by_rank()
+        # Slots that are being given back are spoken for.
+        running[call.rank] += self._count_stopping()
+        if not self.queue.is_below_floor(call.rank, running, limits.slots):
+            return None
         return max(
-            candidates,
+            (run for run in able if run.call.rank > call.rank),
             key=lambda run: (run.call.rank, run.started),
             default=None,
         )
 
+    def _choose_by_share(
+        self, call: calls.ChatCall, able: list[Run]
+    ) -> Run | None:
+        """Finds an account with twice the slots that the caller would have."""
+        slots: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.call.rank == call.rank and not run.preempted:
+                share = 1 / run.call.weight
+                slots[run.call.account] = (
+                    slots.get(run.call.account, 0.0) + share
+                )
+        wanted = slots.get(call.account, 0.0) + 1 / call.weight
+        wanted += self._count_stopping()
+        return max(
+            (
+                run
+                for run in able
+                if run.call.rank == call.rank
+                and run.call.account != call.account
+                and slots[run.call.account] >= 2 * wanted
+            ),
+            key=lambda run: (slots[run.call.account], run.started),
+            default=None,
+        )
+
+    def _count_stopping(self) -> int:
+        return sum(run.preempted for run in self.runs.values())
+
     def pop_ready(
         self, limits: Limits, settled: bool, now: float
     ) -> rankqueue.Waiting | None:
@@ -334,6 +388,7 @@
                 step = (1 - self.shed[rank]) * refused * SHED_STEP
                 self.shed[rank] = min(SHED_MAX, self.shed[rank] + step)
             else:
-                self.shed[rank] *= SHED_DECAY
+                # With nothing queued the flood is over.
+                self.shed[rank] *= SHED_DECAY if len(self.queue) else SHED_DROP
         self._offered = [0] * len(self.shed)
         self._refused = [0] * len(self.shed)
--- a/agatedock/holdings.py
+++ b/agatedock/holdings.py
@@ -151,7 +151,7 @@
         read = self._view.resolver.get
         bound = gate.compute_bound(
             read("load_bound", model=model),
-            self._loads.low_mean(model, now),
+            self._loads.find_mean(model, now),
             read("load_bound_floor", model=model),
         )
         return gate.Limits(bound, read("engine_slots", model=model))
--- a/agatedock/home.py
+++ b/agatedock/home.py
@@ -156,7 +156,7 @@
     ) -> None:
         """Tells the engine to stop a run; its end frees the slot."""
         limits = self._holdings.limits(call.model, time.monotonic())
-        victim = held.choose_victim(call.rank, limits)
+        victim = held.choose_victim(call, limits)
         if victim is None:
             return
         victim.preempted = True
--- a/agatedock/loads.py
+++ b/agatedock/loads.py
@@ -28,7 +28,6 @@
     at: float
     engines: int
     load: int
-    waiting: int
     averages: dict[str, float]
 
 
@@ -59,24 +58,22 @@
             _sum_up(model, held) for model, held in sorted(by_model.items())
         )
 
-    def low_mean(self, model: str, now: float) -> float:
-        """Returns a mean load that the true one is rarely below.
+    def find_mean(self, model: str, now: float) -> gate.Mean:
+        """Returns the mean load of a model's engines.
 
         The loads of other homes are some tenths of a second old; meanwhile
-        the total moves by about its square root. Queued requests count: else
-        engines at their bound would keep the mean, and with it their bound,
-        from growing with demand.
+        the total moves by about its square root.
         """
         others = self._sum_others(model, now)
-        engines = others.engines
-        load = others.load + others.waiting
+        engines, load = others.engines, others.load
         for item in self.describe_own():
             if item.model == model:
                 engines += item.engines
-                load += item.load + item.waiting
+                load += item.load
         if not engines:
-            return 0.0
-        return max(0.0, load - MEAN_MARGIN * math.sqrt(load)) / engines
+            return gate.Mean(0.0, 0.0)
+        low = max(0.0, load - MEAN_MARGIN * math.sqrt(load))
+        return gate.Mean(load / engines, low / engines)
 
     def list_names(
         self, model: str, excluded: tuple[str, ...], now: float
@@ -104,7 +101,7 @@
         known = self._others.get(model)
         if known is not None and now - known.at < SUM_MAX_AGE_S:
             return known
-        summed = _Others(now, 0, 0, 0, {})
+        summed = _Others(now, 0, 0, {})
         for member in self._table.list_up():
             if member.state is None or member.name == self._table.own.name:
                 continue
@@ -112,7 +109,6 @@
                 if item.model == model and item.engines:
                     summed.engines += item.engines
                     summed.load += item.load
-                    summed.waiting += item.waiting
                     total = item.load + item.waiting
                     summed.averages[member.name] = total / item.engines
         self._others[model] = summed
--- a/bench/load.py
+++ b/bench/load.py
@@ -65,7 +65,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Sample:
-    """What came of one request; times in seconds since the run began."""
+    """What came of one request; times are in seconds."""
 
     request_id: str
     phase: str
@@ -80,6 +80,7 @@
     tokens: int
     cached: int
     ideal: int
+    ended_at: float
 
 
 @dataclasses.dataclass
@@ -291,6 +292,7 @@
             max(0, tokens - 2) if whole else 0,
             cached if whole else 0,
             ideal if whole else 0,
+            time.monotonic(),
         )
         return sample, engine
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -33,11 +33,18 @@
 BOUND = 1.5
 BOUND_FLOOR = 4
 # Requests a second that the engines can finish, by their own batching.
-CAPACITY_PER_S = ENGINES * BATCH / ((load.ANSWER_TOKENS + 2) * STEP_MS / 1000)
+# The engines' steps take a little longer than they are set to.
+STEP_OVERHEAD_MS = 1.4
+CAPACITY_PER_S = (
+    ENGINES
+    * BATCH
+    / ((load.ANSWER_TOKENS + 2) * (STEP_MS + STEP_OVERHEAD_MS) / 1000)
+)
 # Mixes above this rate are sent from processes of their own, which take this
 # long to start.
 APART_PER_S = 100.0
 APART_START_S = 1.5
+SETTLE_S = 2.0
 BASELINES = ("round-robin", "plain-hash", "two-choices")
 
 
@@ -81,6 +88,9 @@
     load: load.Load
     seconds: float
     first: int = 0
+    windows: dict[str, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
     left: dict[str, float] = dataclasses.field(default_factory=dict)
     apart: list[asyncio.Task] = dataclasses.field(default_factory=list)
 
@@ -95,9 +105,22 @@
             self.apart.append(asyncio.create_task(work))
         if large:
             await asyncio.sleep(APART_START_S)
+        started = time.monotonic()
         await asyncio.gather(
             *(self.load.run(mix, self.seconds) for mix in small)
         )
+        # What ran already when the phase began does not count for it.
+        self.windows[name] = (started + SETTLE_S, time.monotonic())
+
+    def goodput(self, phase: str) -> float:
+        """Returns the tokens of whole answers a second that ended in it."""
+        begin, end = self.windows[phase]
+        tokens = sum(
+            s.tokens
+            for s in self.load.recorder.samples
+            if begin <= s.ended_at < end
+        )
+        return tokens / (end - begin)
 
     async def finish(self) -> None:
         """Waits for all answers."""
@@ -326,7 +349,7 @@
     samples = recorder.select(phase)
     figures: dict = {
         "reuse": round(load.reuse(samples), 3),
-        "tokens_per_s": round(sum(s.tokens for s in samples) / run.seconds),
+        "tokens_per_s": round(run.goodput(phase)),
         "ranks": {},
         "small": summarize_service(
             [s for s in samples if s.account.startswith("small")]
@@ -387,7 +410,8 @@
     for phase, figures in row["phases"].items():
         print(
             f"  {phase:6} reuse {figures['reuse']:.3f} "
-            f"tokens/s {figures['tokens_per_s']}"
+            f"tokens/s {figures['tokens_per_s']} "
+            f"of {CAPACITY_PER_S * load.ANSWER_TOKENS:.0f}"
         )
         rows = {**figures["ranks"], "(small)": figures["small"]}
         for name, service in rows.items():
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -256,7 +256,7 @@
     def place() -> object:
         now = time.monotonic()
         names = sums.list_names("model-0", (), now)
-        sums.low_mean("model-0", now)
+        sums.find_mean("model-0", now)
         return hashing.choose("account/chat", names)
 
     return place
--- a/test/test_props.py
+++ b/test/test_props.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 import random
 import unittest
 
@@ -191,12 +192,41 @@
             decision = home.decide(urgent, limits, True, 0, False, 10.0)
             if decision.choice != gate.Choice.PREEMPT:
                 break
-            victim = home.choose_victim(0, limits)
+            victim = home.choose_victim(urgent, limits)
             victim.preempted = True
             victims.append(victim.call.request_id)
         # The floor of half the slots, the latest requests first.
         self.assertEqual(victims, ["q7", "q6", "q5", "q4"])
 
+    def test_small_account_takes_a_slot_back_from_a_large_one(self):
+        home = gate.Gate("llm-0", FLOORS)
+        home.open_from = 0.0
+        limits = gate.Limits(4, 4)
+        for number in range(4):
+            call = make_call(number, account="large")
+            home.start(call, float(number), queued=False)
+        decision = home.decide(make_call(9), limits, True, 0, False, 9.0)
+        self.assertEqual(decision.choice, gate.Choice.PREEMPT)
+        victim = home.choose_victim(make_call(9), limits)
+        self.assertEqual(victim.call.request_id, "q3")
+        # With a slot of its own the small account takes no second one.
+        home.finish("q3", 10, 9.5)
+        home.start(make_call(9), 9.5, queued=True)
+        self.assertIsNone(home.choose_victim(make_call(10), limits))
+
+    @hypothesis.given(
+        st.floats(1.0, 4.0), st.integers(0, 400), st.integers(1, 50)
+    )
+    def test_bound_is_a_multiple_of_the_mean_and_lets_demand_grow(
+        self, multiple, load, engines
+    ):
+        likely = load / engines
+        low = max(0.0, load - math.sqrt(load)) / engines
+        bound = gate.compute_bound(multiple, gate.Mean(likely, low), 1)
+        self.assertLessEqual(bound, max(1, math.ceil(multiple * likely)))
+        if multiple * likely >= likely + 1:
+            self.assertGreater(bound, likely)
+
     def test_failing_engine_is_held_back_longer_each_time(self):
         home = gate.Gate("llm-0", FLOORS)
         now, holds = 100.0, []
