Split the composition root; share what daemons have in common

Change: news and handover are modules of their own, daemons share daemon.py, the steward has a state dump too. Behaviour is unchanged.

--- a/agatedock/compose.py
+++ b/agatedock/compose.py
@@ -20,6 +20,7 @@
 from agatedock import follow
 from agatedock import gate
 from agatedock import gossip
+from agatedock import handover
 from agatedock import holdings
 from agatedock import home
 from agatedock import homes
@@ -27,6 +28,7 @@
 from agatedock import logs
 from agatedock import members
 from agatedock import metrics
+from agatedock import news
 from agatedock import pause
 from agatedock import plain
 from agatedock import relay
@@ -40,10 +42,8 @@
 from agatedock import view
 from agatedock import wire
 
-REFRESH_S = 0.2
+WORK_CHECK_S = 0.2
 RESTART_PAUSE_S = 1.0
-SYNC_PERIOD_S = 30.0
-SYNC_TRIES = 3
 STOP_LINGER_S = 1.0
 STATE_MAX_AGE_S = 10.0
 
@@ -67,7 +67,6 @@
         now = time.monotonic()
         self._config = config
         self._seed = random.SystemRandom().getrandbits(32)
-        self._random = random.Random(self._seed)
         self._pause = pause.Watch(now)
         self._view = view.View()
         self._upstreams = upstreams.View()
@@ -89,7 +88,7 @@
         self._make_parts(now)
         await self._bind(now)
         self._gossip.take_own(self._table.own)
-        await self._join()
+        await self._news.join()
         self._start_tasks()
         logs.event(_log, "router_started", **dataclasses.asdict(self.ports))
 
@@ -98,8 +97,9 @@
         self._client = clients.make_client()
         self._single_use_client = clients.make_single_use_client()
         self._make_table(now)
-        self._make_home()
+        self._make_holdings()
         self._make_talk()
+        self._make_home()
         self._make_routes()
 
     def _make_table(self, now: float) -> None:
@@ -122,14 +122,13 @@
         )
         self._homes = homes.Map(self._table, self._upstreams)
 
-    def _make_home(self) -> None:
-        config = self._config
+    def _make_holdings(self) -> None:
         gates: dict[str, gate.Gate] = {}
         self._loads = loads.Loads(
             self._table, self._upstreams, self._homes, gates
         )
         self._holdings = holdings.Holdings(
-            config.home,
+            self._config.home,
             gates,
             self._table,
             self._view,
@@ -137,6 +136,10 @@
             self._homes,
             self._loads,
         )
+        self._hand_over = handover.HandOver(self._config.name, self._holdings)
+
+    def _make_home(self) -> None:
+        config = self._config
         self._home = home.Home(
             config.name,
             self._holdings,
@@ -146,7 +149,7 @@
             enginecall.EngineClient(self._client, config.limits),
             self._records,
             self._pause.is_paused,
-            self._note_leaving,
+            self._news.note_leaving,
         )
 
     def _make_talk(self) -> None:
@@ -154,7 +157,6 @@
         self._gossip = gossip.Gossip(
             self._table,
             config.gossip,
-            self,
             self._holdings.describe_own,
             self._seed,
         )
@@ -163,9 +165,18 @@
             self._view,
             self._kv,
             self._gossip,
-            self._refresh,
+            self._hand_over.refresh,
+            self._seed,
+        )
+        self._news = news.News(
+            self._vms,
+            config.platform.vm_list_poll_ms,
+            self._upstreams,
+            self._gossip,
+            self._follower,
             self._seed,
         )
+        self._gossip.listener = self._news
 
     def _make_routes(self) -> None:
         config = self._config
@@ -191,7 +202,7 @@
             budget,
             self._client,
             self._single_use_client,
-            self._note_leaving,
+            self._news.note_leaving,
             self._seed,
         )
         self._callers = servers.CallerServer(
@@ -247,29 +258,6 @@
         self._runners.append(runner)
         return runner.addresses[0][1]
 
-    async def _join(self) -> None:
-        """Learns members and configuration from peers, if any answer."""
-        await self._read_vms()
-        peers = self._table.list_peers()
-        self._random.shuffle(peers)
-        for peer in peers[:SYNC_TRIES]:
-            if await self._sync_with(peer):
-                break
-
-    async def _sync_with(self, peer: members.Member) -> bool:
-        try:
-            items = await rpcpeer.sync(peer.item, self._table.own, self._table)
-        except errors.Unavailable as error:
-            logs.event(_log, "sync_failed", peer=peer.name, problem=str(error))
-            return False
-        now = time.monotonic()
-        for item in items:
-            self._gossip.take(item, now)
-            newer = getattr(item, "revision", 0) > self._view.revision
-            if newer and isinstance(item, wire.StateItem):
-                self._follower.hear_revision(item.name, item.revision, 0)
-        return True
-
     def _start_tasks(self) -> None:
         reader = reports.Reader(
             self._config.home,
@@ -282,39 +270,15 @@
             ("gossip", self._gossip.run),
             ("config_watch", self._follower.run_watch),
             ("config_poll", self._follower.run_poll),
-            ("vm_list", self._poll_vms),
+            ("vm_list", self._news.run_vm_list),
             ("load_reports", reader.run),
             ("shedding", self._home.run_shedding),
-            ("homes", self._run_refresh),
-            ("sync", self._run_sync),
+            ("homes", self._hand_over.run),
+            ("sync", self._news.run_sync),
             ("pause", lambda: self._pause.run(self._take_pause)),
         ):
             self._tasks.append(asyncio.create_task(_supervise(name, run)))
 
-    # What the parts tell each other.
-
-    def hear_revision(self, sender: str, revision: int, digest: int) -> None:
-        """Passes on a peer's configuration revision."""
-        self._follower.hear_revision(sender, revision, digest)
-
-    def hear_leaving(self, item: wire.LeavingItem) -> bool:
-        """Passes on news of an upstream."""
-        return self._upstreams.take_news(item, time.monotonic())
-
-    def _note_leaving(self, upstream: str, leaving: bool) -> None:
-        item = self._upstreams.note_leaving(
-            upstream, leaving, time.monotonic(), _wall_ms()
-        )
-        if item is not None:
-            self._spread_leaving(item)
-
-    def _spread_leaving(self, item: wire.LeavingItem) -> None:
-        self._gossip.board.post(item)
-        self._gossip.push_now(follow.PUSH_PEERS)
-        logs.event(
-            _log, "upstream_leaving", upstream=item.upstream, back=item.back
-        )
-
     def _take_pause(self, pause_s: float, now: float) -> None:
         self._table.slow_down()
         if pause_s * 1000 > self._config.gossip.suspicion_ms:
@@ -326,81 +290,6 @@
             self._table.list_up(), model, rank, now, STATE_MAX_AGE_S
         )
 
-    # Tasks.
-
-    async def _poll_vms(self) -> None:
-        while True:
-            await self._read_vms()
-            pause_s = self._config.platform.vm_list_poll_ms / 1000
-            await asyncio.sleep(pause_s * self._random.uniform(0.8, 1.2))
-
-    async def _read_vms(self) -> None:
-        try:
-            rows = await self._vms.read()
-        except errors.Unavailable as error:
-            logs.event(
-                _log, "vm_list_unavailable", logging.WARNING, problem=str(error)
-            )
-            return
-        now = time.monotonic()
-        if rows is None:
-            return
-        for item in self._upstreams.take_rows(rows, now, _wall_ms()):
-            self._spread_leaving(item)
-        for row in rows:
-            if row.role == "router":
-                self._table.seed(row, now)
-
-    async def _run_refresh(self) -> None:
-        while True:
-            self._refresh()
-            await asyncio.sleep(REFRESH_S)
-
-    def _refresh(self) -> None:
-        """Takes and gives up engines as members change."""
-        for engine, owner in self._holdings.refresh(time.monotonic()):
-            task = asyncio.create_task(self._hand_over(engine, owner))
-            task.add_done_callback(_read_error)
-
-    async def _hand_over(self, engine: str, owner: members.Member) -> None:
-        closed = self._holdings.close(engine)
-        if closed is None:
-            return
-        diversions = self._holdings.list_diversions(
-            engine, rpcpeer.DIVERSIONS_MAX
-        )
-        try:
-            accepted = await rpcpeer.hand_over(
-                owner.item,
-                self._config.name,
-                engine,
-                len(closed.runs),
-                diversions,
-            )
-        except errors.Unavailable as error:
-            # The new home then opens the engine after its quiet time.
-            logs.event(
-                _log, "hand_over_failed", engine=engine, problem=str(error)
-            )
-            return
-        logs.event(
-            _log,
-            "handed_over",
-            engine=engine,
-            peer=owner.name,
-            running=len(closed.runs),
-            accepted=accepted,
-        )
-
-    async def _run_sync(self) -> None:
-        while True:
-            await asyncio.sleep(SYNC_PERIOD_S * self._random.uniform(0.5, 1.5))
-            peers = self._table.list_peers()
-            if peers:
-                await self._sync_with(self._random.choice(peers))
-
-    # The end.
-
     async def stop(self) -> None:
         """Leaves the fleet, finishes every request in flight, then ends."""
         self._callers.stopping = True
@@ -421,7 +310,7 @@
         while time.monotonic() < until:
             if not self._count_work():
                 return 0
-            await asyncio.sleep(REFRESH_S)
+            await asyncio.sleep(WORK_CHECK_S)
         return self._count_work()
 
     def _count_work(self) -> int:
@@ -480,12 +369,3 @@
         except Exception:
             _log.exception({"event": "task_failed", "task": name})
             await asyncio.sleep(RESTART_PAUSE_S)
-
-
-def _read_error(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _log.error({"event": "task_failed"}, exc_info=task.exception())
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/agatedock/follow.py
+++ b/agatedock/follow.py
@@ -66,6 +66,10 @@
             if digest != self._view.digest:
                 self._view.raise_alarm(sender, revision, "revision forked")
             return
+        self.hear_newer(sender, revision)
+
+    def hear_newer(self, sender: str, revision: int) -> None:
+        """Fetches a peer's configuration if its revision is newer."""
         if revision <= self._view.revision or sender in self._fetching:
             return
         self._fetching.add(sender)
--- a/agatedock/gossip.py
+++ b/agatedock/gossip.py
@@ -49,24 +49,41 @@
     bad_packets: int = 0
 
 
+class _Deaf:
+    """Hears nothing; stands in until the parts are wired."""
+
+    def hear_revision(self, sender: str, revision: int, digest: int) -> None:
+        """Ignores a revision."""
+
+    def hear_leaving(self, item: wire.LeavingItem) -> bool:
+        """Ignores news of an upstream."""
+        del item
+        return False
+
+
 class Gossip(asyncio.DatagramProtocol):
-    """Sends and receives datagrams: one task for each peer, one for news."""
+    """Sends and receives datagrams: one task for each peer, one for news.
+
+    Attributes:
+      listener: What is told of news from peers.
+      revision: Configuration revision in force here, on every datagram.
+      digest: Digest of that configuration.
+    """
 
     def __init__(
         self,
         table: members.Table,
         config: settings.Gossip,
-        listener: Listener,
         describe_own: Callable[[], wire.StateItem],
         seed: int,
     ):
         self.table = table
+        self.listener: Listener = _Deaf()
         self.traffic = Traffic()
         self.board = board.Board()
         self.revision = 0
         self.digest = 0
         self._config = config
-        self._listener = listener
         self._describe_own = describe_own
         self._random = random.Random(seed)
         self._transport: asyncio.DatagramTransport | None = None
@@ -94,7 +111,7 @@
             return
         for item in items:
             self.take(item, time.monotonic())
-        self._listener.hear_revision(
+        self.listener.hear_revision(
             packet.sender, packet.revision, packet.digest
         )
         self._answer(packet, addr)
@@ -108,7 +125,7 @@
         elif isinstance(item, wire.StateItem):
             if self.table.merge_state(item, now) and not self._is_small():
                 self.board.post(item)
-        elif self._listener.hear_leaving(item):
+        elif self.listener.hear_leaving(item):
             self.board.post(item)
 
     def take_own(self, item: wire.MemberItem) -> None:
--- a/agatedock/steward.py
+++ b/agatedock/steward.py
@@ -71,6 +71,22 @@
             for task in self._tasks.values():
                 task.cancel()
 
+    def dump(self) -> dict:
+        """Returns the state of this process for operators."""
+        now = time.monotonic()
+        return {
+            "name": self._name,
+            "revision": self._document.revision,
+            "leases": [
+                {
+                    "scope": scope,
+                    "fence": held.record.fence,
+                    "left_ms": int((held.valid_until - now) * 1000),
+                }
+                for scope, held in sorted(self.held.items())
+            ],
+        }
+
     async def _read_platform(self) -> None:
         try:
             rows = await self._vms.read()
--- /dev/null
+++ b/agatedock/ui/daemon.py
@@ -0,0 +1,55 @@
+"""What the programs that run as daemons share."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import dataclasses
+import pathlib
+import signal
+from typing import Annotated
+from typing import Any
+
+import cappa
+import uvloop
+
+from agatedock import logs
+from agatedock import plugins
+from agatedock import settings
+from agatedock.ui import common
+
+
+@dataclasses.dataclass
+class Run:
+    """Arguments of a daemon."""
+
+    settings_file: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long="--settings", help="YAML file over the defaults."),
+    ] = None
+    options: Annotated[
+        list[str],
+        cappa.Arg(long="--set", help="KEY.PATH=VALUE over the file."),
+    ] = dataclasses.field(default_factory=list)
+
+
+def run(
+    arguments: Run,
+    work: Callable[[settings.Settings], Coroutine[Any, Any, None]],
+) -> None:
+    """Loads settings and plug-ins and runs a daemon's work to its end."""
+    with common.show_user_errors():
+        config = settings.load(arguments.settings_file, arguments.options)
+        logs.configure(config.log.level, config.name)
+        plugins.load()
+        uvloop.run(work(config))
+
+
+async def wait_for_stop() -> None:
+    """Waits for SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
--- a/agatedock/ui/router.py
+++ b/agatedock/ui/router.py
@@ -6,18 +6,14 @@
 import dataclasses
 import json
 import logging
-import pathlib
 import signal
-from typing import Annotated
 
 import cappa
-import uvloop
 
 from agatedock import compose
 from agatedock import logs
-from agatedock import plugins
 from agatedock import settings
-from agatedock.ui import common
+from agatedock.ui import daemon
 
 _log = logging.getLogger(__name__)
 
@@ -28,27 +24,13 @@
     epilog="Example: agatedock-router --settings router-1.yaml",
 )
 @dataclasses.dataclass
-class Run:
+class Run(daemon.Run):
     """Arguments of agatedock-router."""
 
-    settings_file: Annotated[
-        pathlib.Path | None,
-        cappa.Arg(long="--settings", help="YAML file over the defaults."),
-    ] = None
-    options: Annotated[
-        list[str],
-        cappa.Arg(long="--set", help="KEY.PATH=VALUE over the file."),
-    ] = dataclasses.field(default_factory=list)
-
 
 def main() -> None:
     """Runs the program."""
-    arguments = cappa.parse(Run)
-    with common.show_user_errors():
-        config = settings.load(arguments.settings_file, arguments.options)
-        logs.configure(config.log.level, config.name)
-        plugins.load()
-        uvloop.run(_run(config))
+    daemon.run(cappa.parse(Run), _run)
 
 
 async def _run(config: settings.Settings) -> None:
@@ -56,12 +38,9 @@
     await router.start()
     ports = json.dumps(dataclasses.asdict(router.ports))
     print(f"ready {ports}", flush=True)
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, _write_dump, router)
-    await stop.wait()
+    await daemon.wait_for_stop()
     await router.stop()
 
 
--- a/agatedock/ui/steward.py
+++ b/agatedock/ui/steward.py
@@ -4,20 +4,20 @@
 
 import asyncio
 import dataclasses
-import pathlib
+import json
+import logging
 import signal
-from typing import Annotated
 
 import aiohttp
 import cappa
-import uvloop
 
 from agatedock import clients
 from agatedock import logs
-from agatedock import plugins
 from agatedock import settings
 from agatedock import steward
-from agatedock.ui import common
+from agatedock.ui import daemon
+
+_log = logging.getLogger(__name__)
 
 
 @cappa.command(
@@ -26,47 +26,35 @@
     epilog="Example: agatedock-steward --settings router-1.yaml",
 )
 @dataclasses.dataclass
-class Run:
+class Run(daemon.Run):
     """Arguments of agatedock-steward."""
 
-    settings_file: Annotated[
-        pathlib.Path | None,
-        cappa.Arg(long="--settings", help="YAML file over the defaults."),
-    ] = None
-    options: Annotated[
-        list[str],
-        cappa.Arg(long="--set", help="KEY.PATH=VALUE over the file."),
-    ] = dataclasses.field(default_factory=list)
-
 
 def main() -> None:
     """Runs the program."""
-    arguments = cappa.parse(Run)
-    with common.show_user_errors():
-        config = settings.load(arguments.settings_file, arguments.options)
-        logs.configure(config.log.level, config.name)
-        plugins.load()
-        uvloop.run(_run(config))
+    daemon.run(cappa.parse(Run), _run)
 
 
 async def _run(config: settings.Settings) -> None:
     kv = clients.open_key_value(config.platform)
     vms = clients.open_vm_list(config.platform)
     async with aiohttp.ClientSession() as client:
-        running = asyncio.create_task(
-            steward.Steward(config, kv, vms, client).run()
-        )
+        tending = steward.Steward(config, kv, vms, client)
+        running = asyncio.create_task(tending.run())
         print('ready {"port": 0}', flush=True)
-        stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
-        await stop.wait()
+        loop.add_signal_handler(signal.SIGUSR1, _write_dump, tending)
+        await daemon.wait_for_stop()
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
     await kv.close()
     await vms.close()
 
 
+def _write_dump(tending: steward.Steward) -> None:
+    """Logs the state of the process as one event."""
+    logs.event(_log, "dump", state=json.dumps(tending.dump()))
+
+
 if __name__ == "__main__":
     main()
--- a/bench/peers.py
+++ b/bench/peers.py
@@ -100,10 +100,10 @@
         self.gossip = LossyGossip(
             self.table,
             config,
-            self,
             self._describe,
             self._random.getrandbits(30),
         )
+        self.gossip.listener = self
         self.gossip.loss = self._plan.loss
         self.gossip.revision = 1
         loop = asyncio.get_running_loop()
