Tell loads to every peer in turn instead of passing them on

Cause: with 24 routers the death of one was known to all only after 12 s: items of state, renewed several times a second under keys that keep their place, went before news of members within the byte budget.

Change: every router tells each peer its own state in turn, paced by bytes; news of members goes along with it and on probes. Calls and plans of chats no longer repeat each other's fields.

Conclusion: simpler, and news is no longer held back; the time itself is now set by probing and suspicion.

--- a/agatedock/calls.py
+++ b/agatedock/calls.py
@@ -12,11 +12,6 @@
 PROMPT_TOKENS_PER_WORK = 20
 
 
-def weigh(prompt_tokens: int, answer_tokens: int) -> int:
-    """Returns the work of a request in generated tokens."""
-    return prompt_tokens // PROMPT_TOKENS_PER_WORK + answer_tokens
-
-
 @dataclasses.dataclass(frozen=True)
 class ChatCall:
     """A chat request as the entry router passes it to an engine's home.
@@ -66,8 +61,8 @@
         return self.request_id.rpartition(".")[0] or self.request_id
 
     def work_of(self, answer_tokens: int) -> int:
-        """Returns the work of an answer of some length."""
-        return weigh(self.prompt_tokens, answer_tokens)
+        """Returns the work of an answer of some length, in its tokens."""
+        return self.prompt_tokens // PROMPT_TOKENS_PER_WORK + answer_tokens
 
 
 class Outcome(enum.StrEnum):
@@ -104,33 +99,11 @@
 CALL_HEADER = "X-Agatedock-Call"
 
 
-class _CallHead(msgspec.Struct):
-    """A call without its body; the deadline is relative, in milliseconds."""
-
-    request_id: str
-    account: str
-    model: str
-    rank: int
-    prompt_tokens: int
-    answer_tokens: int
-    weight: float
-    chat: str
-    engine: str
-    diverted: bool
-    may_divert: bool
-    excluded: tuple[str, ...]
-    offset: int
-    preemptions: int
-    returning: bool
-    left_ms: int
-
-
 def encode_head(call: ChatCall, now: float) -> str:
-    """Returns the header that carries a call to a peer."""
-    fields = dataclasses.asdict(call)
-    del fields["body"]
-    deadline = fields.pop("deadline")
-    head = _CallHead(left_ms=int((deadline - now) * 1000), **fields)
+    """Returns the header that carries a call, without its body, to a peer."""
+    # Clocks differ between VMs, so the time that is left goes over the wire.
+    left_s = round(call.deadline - now, 3)
+    head = dataclasses.replace(call, deadline=left_s, body=b"")
     return msgspec.json.encode(head).decode()
 
 
@@ -141,12 +114,10 @@
       BadCall: The header does not decode.
     """
     try:
-        head = msgspec.json.decode(header.encode(), type=_CallHead)
+        head = msgspec.json.decode(header.encode(), type=ChatCall)
     except (msgspec.MsgspecError, UnicodeError) as error:
         raise BadCall(str(error)) from None
-    fields = msgspec.structs.asdict(head)
-    left_ms = fields.pop("left_ms")
-    return ChatCall(deadline=now + left_ms / 1000, body=body, **fields)
+    return dataclasses.replace(head, deadline=now + head.deadline, body=body)
 
 
 def encode_verdict(verdict: Verdict) -> bytes:
--- a/agatedock/chat.py
+++ b/agatedock/chat.py
@@ -72,23 +72,20 @@
     """A chat request being served.
 
     Attributes:
+      caller: Who asked.
+      body: The request as engines understand it.
+      call: The call with all that does not change on the way.
+      deadline: Monotonic time in seconds up to which an engine is looked for.
+      checker: Follows the answer.
       first: Engine that the chat prefers; its home decides on diversions.
       maybe_run: True once an engine may have received the request.
       excluded: Engines that turned the request away.
     """
 
     caller: intake.Caller
-    request_id: str
     body: dict
-    model: str
-    rank: int
-    prompt_tokens: int
-    answer_tokens: int
-    weight: float
-    chat: str
-    returning: bool
+    call: calls.ChatCall
     deadline: float
-    may_divert: bool
     checker: answers.Checker
     first: str = ""
     maybe_run: bool = False
@@ -104,22 +101,13 @@
                 "events": self.checker.events,
             }
             body = {**body, "continue": so_far}
-        return calls.ChatCall(
-            request_id=self.request_id,
-            account=self.caller.account,
-            model=self.model,
-            rank=self.rank,
-            prompt_tokens=self.prompt_tokens,
-            answer_tokens=self.answer_tokens,
-            weight=self.weight,
-            chat=self.chat,
+        return dataclasses.replace(
+            self.call,
             engine=engine,
             diverted=engine != self.first,
-            may_divert=self.may_divert,
             excluded=tuple(self.excluded),
             offset=self.checker.events,
             preemptions=self.preemptions,
-            returning=self.returning,
             deadline=self.deadline,
             body=json.dumps(body).encode(),
         )
@@ -164,15 +152,15 @@
         wanted = parse(data)
         plan = self._make_plan(wanted, caller, now)
         self._shed(plan, now)
-        self._budget.earn(self._setting("retry_ratio", plan))
+        self._budget.earn(self._setting("retry_ratio", plan.call))
         stream = await self._open(plan)
         if wanted.stream:
             return await self._stream(request, plan, stream)
         return await self._collect(plan, stream)
 
-    def _setting(self, key: str, plan: Plan):
+    def _setting(self, key: str, call: calls.ChatCall):
         return self._view.resolver.get(
-            key, account=plan.caller.account, model=plan.model
+            key, account=call.account, model=call.model
         )
 
     def _make_plan(
@@ -183,41 +171,56 @@
             raise errors.Refusal(
                 errors.Code.UNKNOWN_MODEL, f"no model {wanted.model!r}"
             )
-        rank = document.rank_of(caller.work)
-        request_id = f"{caller.request_id}.{uuid.uuid4().hex[:8]}"
-        plan = Plan(
+        call = self._make_template(wanted, caller)
+        most = self._setting("work_max_tokens", call)
+        if call.prompt_tokens + call.answer_tokens > most:
+            raise errors.Refusal(
+                errors.Code.TOO_LARGE,
+                f"prompt of about {call.prompt_tokens} and answer of "
+                f"{call.answer_tokens} tokens; together at most {most}",
+            )
+        target_s = document.ranks[call.rank].first_token_ms / 1000
+        return Plan(
             caller=caller,
-            request_id=request_id,
             body=wanted.model_dump(exclude={"stream"}),
+            call=call,
+            deadline=now + target_s,
+            checker=answers.Checker(call.request_id),
+        )
+
+    def _make_template(
+        self, wanted: ChatRequest, caller: intake.Caller
+    ) -> calls.ChatCall:
+        """Returns the call with all that does not change on the way."""
+        read = self._view.resolver.get
+        scope = {"account": caller.account, "model": wanted.model}
+        return calls.ChatCall(
+            request_id=f"{caller.request_id}.{uuid.uuid4().hex[:8]}",
+            account=caller.account,
             model=wanted.model,
-            rank=rank,
+            rank=self._view.document.rank_of(caller.work),
             prompt_tokens=_estimate_prompt(wanted),
             answer_tokens=wanted.max_tokens,
-            weight=1.0,
+            weight=read("account_weight", **scope),
             chat=_make_chat_key(caller, wanted),
+            engine="",
+            diverted=False,
+            may_divert=read("placement", **scope) == "bounded",
+            excluded=(),
+            offset=0,
+            preemptions=0,
             returning=any(m.role == "assistant" for m in wanted.messages),
-            deadline=now + document.ranks[rank].first_token_ms / 1000,
-            may_divert=True,
-            checker=answers.Checker(request_id),
+            deadline=0.0,
+            body=b"",
         )
-        plan.weight = self._setting("account_weight", plan)
-        plan.may_divert = self._setting("placement", plan) == "bounded"
-        most = self._setting("work_max_tokens", plan)
-        if plan.prompt_tokens + plan.answer_tokens > most:
-            raise errors.Refusal(
-                errors.Code.TOO_LARGE,
-                f"prompt of about {plan.prompt_tokens} and answer of "
-                f"{plan.answer_tokens} tokens; together at most {most}",
-            )
-        return plan
 
     def _shed(self, plan: Plan, now: float) -> None:
         """Refuses at once what the homes have no room for."""
-        demand = self._demands[plan.rank]
-        work = calls.weigh(plan.prompt_tokens, plan.answer_tokens)
-        demand.add(plan.caller.account, work / plan.weight, now)
-        shed = self._shed_share(plan.model, plan.rank, now)
-        share = demand.refuse_share(plan.caller.account, shed, now)
+        call = plan.call
+        demand = self._demands[call.rank]
+        demand.add(call.account, call.work_tokens / call.weight, now)
+        shed = self._shed_share(call.model, call.rank, now)
+        share = demand.refuse_share(call.account, shed, now)
         if self._random.random() < share:
             self._note(plan, "refuse", "entry", f"shedding {share:.2f}")
             raise self._refuse_overload(plan, 1000, "no room for this rank")
@@ -241,14 +244,16 @@
 
     def _choose_first(self, plan: Plan) -> str | None:
         now = time.monotonic()
-        names = self._loads.list_names(plan.model, tuple(plan.excluded), now)
+        names = self._loads.list_names(
+            plan.call.model, tuple(plan.excluded), now
+        )
         if not names:
             return None
         self._turn += 1
-        name = self._setting("placement", plan)
+        name = self._setting("placement", plan.call)
         strategy = placement.strategies.get(name)
         return strategy(
-            plan.chat,
+            plan.call.chat,
             names,
             lambda engine: self._loads.find_load(engine, now),
             self._turn,
@@ -271,7 +276,7 @@
         if first is None:
             raise errors.Refusal(
                 errors.Code.NO_UPSTREAM,
-                f"no engine of {plan.model!r} is left to try",
+                f"no engine of {plan.call.model!r} is left to try",
                 not_run=not plan.maybe_run,
                 retry_after_ms=NO_UPSTREAM_RETRY_MS,
             )
@@ -449,7 +454,7 @@
         body = {
             "id": plan.caller.request_id,
             "object": "chat.completion",
-            "model": plan.model,
+            "model": plan.call.model,
             "choices": [
                 {
                     "index": 0,
@@ -470,9 +475,9 @@
         if owner is None:
             return
         if self._peers.is_own(owner):
-            await self._home.cancel(stream.engine, plan.request_id)
+            await self._home.cancel(stream.engine, plan.call.request_id)
         else:
-            await self._peers.cancel(owner, stream.engine, plan.request_id)
+            await self._peers.cancel(owner, stream.engine, plan.call.request_id)
 
 
 def parse(data: bytes) -> ChatRequest:
--- a/agatedock/gossip.py
+++ b/agatedock/gossip.py
@@ -23,8 +23,8 @@
 CHECK_PERIOD_S = 0.2
 STATE_REFRESH_S = 5.0
 STATE_MIN_GAP_S = 0.2
-DIRECT_MEMBERS_MAX = 12
-PACKET_OVERHEAD_BYTES = 28
+# Room for news on probes and their answers.
+PIGGYBACK_MAX_BYTES = 200
 
 _log = logging.getLogger(__name__)
 
@@ -90,11 +90,7 @@
         self._sequence = 0
         self._waiting: dict[int, asyncio.Future[None]] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._last_state: wire.StateItem | None = None
-        self._last_state_at = 0.0
-        self._state_gap_s = STATE_MIN_GAP_S
-        self._allowance = float(config.datagram_max_bytes)
-        self._allowed_at = time.monotonic()
+        self._told_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport; called by the event loop."""
@@ -123,8 +119,8 @@
             if news is not None:
                 self._announce(news)
         elif isinstance(item, wire.StateItem):
-            if self.table.merge_state(item, now) and not self._is_small():
-                self.board.post(item)
+            # Not passed on: every router tells every other one itself.
+            self.table.merge_state(item, now)
         elif self.listener.hear_leaving(item):
             self.board.post(item)
 
@@ -165,8 +161,7 @@
         self, addr: tuple, kind: wire.Kind, sequence: int, target: str = ""
     ) -> None:
         """Sends a datagram with news for which there is room."""
-        picked = self.board.pick(self._room(), len(self.table.members))
-        self._allowance -= sum(len(data) for data in picked)
+        picked = self._pick(PIGGYBACK_MAX_BYTES)
         self._transmit(addr, kind, sequence, target, picked)
 
     def _transmit(
@@ -176,10 +171,10 @@
         sequence: int,
         target: str,
         items: list[bytes],
-    ) -> None:
-        """Sends one datagram."""
+    ) -> int:
+        """Sends one datagram and returns its size in bytes."""
         if self._transport is None or self._transport.is_closing():
-            return
+            return 0
         packet = wire.Packet(
             kind,
             sequence,
@@ -193,15 +188,7 @@
         self.traffic.sent_bytes += len(data)
         self.traffic.sent_packets += 1
         self._transport.sendto(data, addr)
-
-    def _room(self) -> int:
-        """Returns how many bytes of news the next datagram may carry."""
-        now = time.monotonic()
-        earned = (now - self._allowed_at) * self._config.update_bytes_per_s
-        most = self._config.datagram_max_bytes
-        self._allowance = min(most, self._allowance + earned)
-        self._allowed_at = now
-        return int(max(0, self._allowance))
+        return len(data)
 
     async def run(self) -> None:
         """Keeps membership going until cancelled."""
@@ -297,52 +284,47 @@
         return True
 
     async def _send_updates(self) -> None:
-        """Sends news to a random peer at a fixed rate."""
+        """Tells every peer in turn this router's state and other news.
+
+        The pace follows from the bytes sent, so that a larger fleet hears
+        more rarely and costs no more. Passing states on from router to router
+        was no fresher at the same bytes, since much of it arrives twice.
+        """
         while True:
-            gap_s = 1 / self._config.updates_per_s
-            await asyncio.sleep(gap_s * self._random.uniform(0.7, 1.3))
-            self._post_state(time.monotonic())
+            state = self._describe_own()
             peers = self.table.list_peers()
-            if peers and len(self.board):
-                peer = self._random.choice(peers)
-                self._send(_address(peer), wire.Kind.UPDATE, 0)
-
-    def _post_state(self, now: float) -> None:
-        """Puts this router's own state on the board if it is due."""
-        state = self._describe_own()
-        last, age_s = self._last_state, now - self._last_state_at
-        fresh = last is not None and msgspec.structs.replace(
-            state, version=last.version
-        )
-        if fresh == last and age_s < STATE_REFRESH_S:
-            return
-        if age_s < self._state_gap_s:
-            return
-        self._last_state, self._last_state_at = state, now
+            if not peers or not self._is_due(state, time.monotonic()):
+                await asyncio.sleep(CHECK_PERIOD_S)
+                continue
+            self._random.shuffle(peers)
+            for peer in peers:
+                state = self._describe_own()
+                sent = self._send_update(peer, state)
+                pace_s = sent / self._config.update_bytes_per_s
+                gap_s = max(pace_s, STATE_MIN_GAP_S / len(peers))
+                await asyncio.sleep(gap_s * self._random.uniform(0.8, 1.2))
+
+    def _is_due(self, state: wire.StateItem, now: float) -> bool:
+        """Tells whether there is anything to say to all peers."""
+        last = self.table.members[self.table.own.name].state
+        if len(self.board) or last is None:
+            return True
+        same = msgspec.structs.replace(state, version=last.version) == last
+        return not same or now - self._told_at > STATE_REFRESH_S
+
+    def _send_update(self, peer: members.Member, state: wire.StateItem) -> int:
+        """Sends this router's state and news; returns the bytes sent."""
+        now = time.monotonic()
         own = self.table.members[self.table.own.name]
         own.state, own.state_at = state, now
-        if self._is_small():
-            self._send_state(state)
-        else:
-            self.board.post(state)
-
-    def _is_small(self) -> bool:
-        """Tells whether every router can tell all others directly.
-
-        That is the freshest way; its bytes grow with the fleet, so larger
-        fleets pass states on from router to router.
-        """
-        return len(self.table.members) <= DIRECT_MEMBERS_MAX
-
-    def _send_state(self, state: wire.StateItem) -> None:
-        """Sends this router's own state to every peer."""
+        self._told_at = now
         data = wire.encode_item(state)
-        peers = self.table.list_peers()
-        for peer in peers:
-            self._transmit(_address(peer), wire.Kind.UPDATE, 0, "", [data])
-        spent = len(peers) * (len(data) + PACKET_OVERHEAD_BYTES)
-        gap_s = spent / self._config.update_bytes_per_s
-        self._state_gap_s = max(STATE_MIN_GAP_S, gap_s)
+        room = self._config.datagram_max_bytes - len(data)
+        items = [data, *self._pick(max(0, room))]
+        return self._transmit(_address(peer), wire.Kind.UPDATE, 0, "", items)
+
+    def _pick(self, room: int) -> list[bytes]:
+        return self.board.pick(room, len(self.table.members))
 
     def push_now(self, count: int) -> None:
         """Sends news at once to a few random peers."""
--- a/agatedock/settings.py
+++ b/agatedock/settings.py
@@ -64,7 +64,6 @@
     probes_per_s: _Rate
     probe_timeout_ms: _Millis
     suspicion_ms: _Millis
-    updates_per_s: _Rate
     update_bytes_per_s: _Count
     datagram_max_bytes: Annotated[int, pydantic.Field(ge=600, le=1400)]
     forget_dead_ms: _Millis
