Split chat requests, placer and delivery; cancel where the request runs

Read again as a whole it cancelled a request on the engine that served it first, also after a resumption elsewhere, and left the closing of abandoned streams to the garbage collector; the metric of the first token was declared and never fed.

--- a/agatedock/compose.py
+++ b/agatedock/compose.py
@@ -30,6 +30,7 @@
 from agatedock import metrics
 from agatedock import news
 from agatedock import pause
+from agatedock import placer
 from agatedock import plain
 from agatedock import relay
 from agatedock import reports
@@ -182,7 +183,7 @@
         config = self._config
         budget = retry.Budget()
         peers = relay.Peers(config.name, self._client, config.limits)
-        chats = chat.ChatRoute(
+        engines = placer.Placer(
             self._view,
             self._home,
             self._homes,
@@ -190,7 +191,16 @@
             peers,
             self._records,
             budget,
+            self._seed,
+        )
+        chats = chat.ChatRoute(
+            self._view,
+            engines,
+            self._records,
+            budget,
             self._shed_share,
+            config.limits.upstream_silence_ms / 1000,
+            self._metrics,
             self._seed,
         )
         self._plains = plain.PlainRoute(
--- a/agatedock/gossip.py
+++ b/agatedock/gossip.py
@@ -20,7 +20,7 @@
 from agatedock import wire
 
 INDIRECT_PROBES = 3
-CHECK_PERIOD_S = 0.2
+CHECK_PERIOD_S = 0.5
 STATE_REFRESH_S = 5.0
 STATE_MIN_GAP_S = 0.2
 # Room for news on probes and their answers.
--- a/agatedock/relay.py
+++ b/agatedock/relay.py
@@ -52,11 +52,7 @@
 
 
 class Peers:
-    """Client side of the relay between routers.
-
-    Attributes:
-      silence_s: Longest silence between two parts of an answer, in seconds.
-    """
+    """Client side of the relay between routers."""
 
     def __init__(
         self,
@@ -64,7 +60,7 @@
         client: aiohttp.ClientSession,
         limits: settings.Limits,
     ):
-        self.silence_s = limits.upstream_silence_ms / 1000
+        self._silence_s = limits.upstream_silence_ms / 1000
         self._own_name = own_name
         self._client = client
         self._connect_s = limits.connect_timeout_ms / 1000
@@ -82,7 +78,7 @@
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=self._connect_s,
-            sock_read=left_s + self.silence_s,
+            sock_read=left_s + self._silence_s,
         )
         try:
             response = await self._client.post(
