--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,9 @@
 test: $(READY)  ## All tests, with fixed seeds.
 	$(BIN)/python -m test
 
-soak: $(READY)  ## The property-based tests with more examples.
-	AGATEDOCK_EXAMPLES=2000 $(BIN)/python -m test test_props
+soak: $(READY)  ## Properties with more examples, storms with more seeds.
+	AGATEDOCK_EXAMPLES=2000 $(BIN)/python -m test test_props test_steward
+	AGATEDOCK_SEEDS=1,2,3,4,5,6,7,8 $(BIN)/python -m test test_storm
 
 lint: $(READY)  ## Formatter, linter and type checker.
 	$(BIN)/ruff format --check .
--- a/test/test_faults.py
+++ b/test/test_faults.py
@@ -107,6 +107,38 @@
                 )
 
 
+class BoundTest(unittest.IsolatedAsyncioTestCase):
+    """No engine above its limit while two routers take it for their own."""
+
+    async def test_limit_holds_while_a_home_is_paused_and_wakes(self):
+        document = {"defaults": {"engine_slots": 4}}
+        plan = helper.make_plan(engines=1, document=document)
+        async with fleet.Fleet(plan) as running:
+            caller = helper.Caller(running)
+            home = await find_home(running, "llm-0")
+            others = [r for r in running.routers.values() if r is not home]
+            stop = asyncio.Event()
+
+            async def call(router: fleet.Process, index: int) -> None:
+                while not stop.is_set():
+                    await caller.chat(router, f"c{index}", 20, work="tag")
+
+            tasks = [
+                asyncio.create_task(call(others[i % 2], i)) for i in range(12)
+            ]
+            await asyncio.sleep(1)
+            for _ in range(2):
+                home.signal(signal.SIGSTOP)
+                await asyncio.sleep(6)
+                home.signal(signal.SIGCONT)
+                await asyncio.sleep(3)
+            stop.set()
+            await asyncio.gather(*tasks)
+            record = await running.read(running.upstreams["llm-0"])
+            self.assertLessEqual(record["peak"], 4)
+            self.assertGreater(len(record["runs"]), 40)
+
+
 class OrderTest(unittest.IsolatedAsyncioTestCase):
     """Non-idempotent requests run at most once."""
 
--- /dev/null
+++ b/test/test_operator.py
@@ -0,0 +1,102 @@
+"""The operators' program against a running fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import unittest
+
+from standins import fleet
+from test import helper
+
+
+class OperatorTest(unittest.IsolatedAsyncioTestCase):
+    """Every command with its output and exit code."""
+
+    async def test_commands(self):
+        plan = helper.make_plan(
+            routers=2, engines=2, replicas=1, document={"accounts": ["small"]}
+        )
+        async with fleet.Fleet(plan) as running:
+            await self._check_files(running)
+            await self._edit(running)
+            await self._look(running)
+            await self._dump_by_signal(running)
+
+    async def _run(self, running: fleet.Fleet, code: int, *words: str) -> str:
+        got, output = await running.operate(*words)
+        self.assertEqual(got, code, output)
+        return output
+
+    async def _check_files(self, running: fleet.Fleet) -> None:
+        good = running.folder / "router-0.yaml"
+        output = await self._run(running, 0, "check", "settings", str(good))
+        self.assertIn("no findings", output)
+        bad = running.folder / "bad.yaml"
+        bad.write_text("name: r\nfailure_domain: a\nlog: {levle: info}\n")
+        output = await self._run(running, 1, "check", "settings", str(bad))
+        self.assertIn("bad.yaml:3 log.levle", output)
+        self.assertIn("did you mean 'level'", output)
+        output = await self._run(running, 1, "check", "settings", "/no/file")
+        self.assertEqual(len(output.splitlines()), 1)
+
+    async def _edit(self, running: fleet.Fleet) -> None:
+        shown = await self._run(running, 0, "config", "show")
+        path = running.folder / "edited.yaml"
+        path.write_text(shown.replace("load_bound: 1.5", "load_bound: 1.7"))
+        output = await self._run(running, 0, "config", "diff", str(path))
+        self.assertIn("-  load_bound: 1.5", output)
+        self.assertIn("+  load_bound: 1.7", output)
+        words = ("config", "edit", str(path), "--reason", "more room")
+        output = await self._run(running, 3, *words, "--base", "9")
+        self.assertIn("another operator was first: revision 1", output)
+        output = await self._run(
+            running, 0, *words, "--base", "1", "--author", "ada"
+        )
+        self.assertIn("accepted as revision 2", output)
+        self.assertIn("in force on all routers", output)
+        output = await self._run(running, 0, "config", "history", "--json")
+        newest = json.loads(output)[0]
+        self.assertEqual(newest["revision"], 2)
+        self.assertEqual(newest["author"], "ada")
+        self.assertEqual(newest["reason"], "more room")
+        output = await self._run(
+            running, 1, "config", "set", "load_bound", "0.5", "--reason", "x"
+        )
+        self.assertIn("defaults.load_bound", output)
+
+    async def _look(self, running: fleet.Fleet) -> None:
+        caller = helper.Caller(running)
+        router = running.routers["router-1"]
+        answer = await caller.chat(router, "c", X_Request_Id="look-1")
+        self.assertTrue(answer.whole)
+        output = await self._run(running, 0, "explain", "look-1")
+        self.assertIn(answer.headers["X-Served-By"], output)
+        self.assertIn("room on the engine", output)
+        await self._run(running, 1, "explain", "never-seen")
+        output = await self._run(running, 0, "routers", "--json")
+        rows = json.loads(output)
+        self.assertEqual([r["status"] for r in rows], ["alive", "alive"])
+        self.assertEqual({r["revision"] for r in rows}, {2})
+        output = await self._run(running, 0, "upstreams")
+        for name in ("llm-0", "llm-1", "shop-0"):
+            self.assertIn(name, output)
+        dump = json.loads(await self._run(running, 0, "dump"))
+        self.assertEqual(dump["config"]["revision"], 2)
+        async with running.http.get(f"{router.peer_url}/metrics") as response:
+            text = await response.text()
+        self.assertIn("agatedock_requests", text)
+        self.assertIn('agatedock_first_token_ms_count{rank="normal"} 1', text)
+        await self._run(running, 4, "dump", "--router", "http://127.0.0.1:9")
+
+    async def _dump_by_signal(self, running: fleet.Fleet) -> None:
+        running.routers["router-0"].signal(signal.SIGUSR1)
+        log = running.folder / "router-0.log"
+        for _ in range(50):
+            if "event=dump" in log.read_text():
+                break
+            await asyncio.sleep(0.1)
+        self.assertIn("event=dump", log.read_text())
+        lines = log.read_text().splitlines()
+        self.assertTrue(all(line.startswith("at=") for line in lines), lines)
