Choose sections of the slopes; test membership under loss

Cause: a death took longer to be known than the slopes watched for at 24 routers and more, and resident memory was not read. Change: 14 s are watched, sections can be chosen, routers' resident memory is read; membership is tested over datagrams of which a tenth is lost.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -30,12 +30,15 @@
       size: Number of routers.
       seconds: Measured time.
       loss: Share of datagrams that are dropped.
+      watch_s: Time after the measured one in which an edit and a death
+        spread.
     """
 
     size: int
     seconds: float
     loss: float
     seed: int
+    watch_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -146,6 +149,10 @@
             ),
         )
 
+    def close(self) -> None:
+        """Closes the UDP port."""
+        self._transport.close()
+
     def meet(self, ports: list[int]) -> None:
         """Takes in all other routers."""
         for index, port in enumerate(ports):
@@ -244,7 +251,7 @@
             router.adopt(2)
         if router.name == killed:
             router.gossip.silent = True
-    await asyncio.sleep(plan.seconds)
+    await asyncio.sleep(plan.watch_s)
     events = [
         dataclasses.replace(
             report,
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -47,8 +47,9 @@
 DOMAINS = 16
 ACCOUNTS = 2800
 CHATS_A_ROUTER = 7_700_000 // ROUTERS
-CHANGES_PER_S = 13_000 / 86_400
-REQUESTS_PER_S = 37_000 / ROUTERS
+# Longer than any death took to be known in light fleets of this size.
+WATCH_S = 14.0
+CALLS_S = 30.0
 
 
 @dataclasses.dataclass
@@ -111,7 +112,7 @@
     """Measures control traffic and processor time by number of routers."""
     sent, received, cpu, ages, spread, detect = [], [], [], [], [], []
     for size in sizes:
-        plan = peers.Plan(size, seconds, 0.0, seed)
+        plan = peers.Plan(size, seconds, 0.0, seed, WATCH_S)
         spent, reports = peers.run(plan)
         first = next(r for r in reports if r.name == "router-000")
         sent.append(first.sent_bytes / seconds)
@@ -143,7 +144,7 @@
 
 def measure_loss(seed: int, seconds: float) -> dict[str, object]:
     """Measures membership over links that lose a tenth of all datagrams."""
-    plan = peers.Plan(24, seconds, 0.1, seed)
+    plan = peers.Plan(24, seconds, 0.1, seed, WATCH_S)
     _, reports = peers.run(plan)
     seen = [r.dead_at for r in reports[:-1] if r.dead_at]
     row = {
@@ -383,7 +384,7 @@
 # Whole processes.
 
 
-async def measure_relay(seed: int) -> dict[str, object]:
+async def measure_relay() -> dict[str, object]:
     """Measures a hop's processor time a token beside a bare relay's."""
     plan = measure.make_plan("bounded")
     spread = plan.routers[:2]
@@ -408,7 +409,7 @@
             ("agatedock", entry.url),
         ) * 2:
             before = {n: _read_cpu_s(p) for n, p in watched.items()}
-            first, tokens = await _stream_many(running, url, seed)
+            first, tokens = await _stream_many(running, url)
             spent = {
                 n: (_read_cpu_s(p) - before[n]) / tokens * 1e6
                 for n, p in watched.items()
@@ -436,10 +437,9 @@
 
 
 async def _stream_many(
-    running: fleet.Fleet, url: str, seed: int, streams: int = 40
+    running: fleet.Fleet, url: str, streams: int = 40
 ) -> tuple[float, int]:
     """Streams long answers; returns the median first token and the tokens."""
-    del seed
     body = {
         "model": measure.MODEL,
         "messages": [{"role": "user", "content": "x"}],
@@ -469,8 +469,18 @@
     return statistics.median(firsts), sum(n for _, n in results)
 
 
+def _read_resident_mib(process: fleet.Process) -> float:
+    status = pathlib.Path(f"/proc/{process.process.pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("VmRSS:"))
+    return int(line.split()[1]) / 1024
+
+
 async def measure_calls(seconds: float) -> list[dict[str, object]]:
-    """Counts calls to the key-value service by fleets without edits."""
+    """Counts calls to the key-value service by fleets without edits.
+
+    Reads the resident memory of their routers as well, which is that of the
+    interpreter and the libraries and hardly any state.
+    """
     rows = []
     for routers in (3, 6):
         plan = measure.make_plan("bounded")
@@ -479,10 +489,12 @@
             before = (await running.read(running.kv))["calls"]
             await asyncio.sleep(seconds)
             after = (await running.read(running.kv))["calls"]
+            resident = [_read_resident_mib(p) for p in running.routers.values()]
         rows.append(
             {
                 "routers": routers,
                 "seconds": seconds,
+                "resident_mib": round(max(resident), 1),
                 **{k: after[k] - before.get(k, 0) for k in after},
             }
         )
@@ -520,40 +532,75 @@
     figure.savefig(path, dpi=70)
 
 
+def run_state(arguments: argparse.Namespace) -> dict[str, object]:
+    """Measures what one router keeps and what using it costs."""
+    del arguments
+    fits: list[dict] = []
+    for work in (
+        measure_state,
+        measure_chats,
+        measure_accounts,
+        measure_configuration,
+    ):
+        fits += print_lines(work())
+    return {"lines": fits}
+
+
+def run_membership(arguments: argparse.Namespace) -> dict[str, object]:
+    """Measures membership by number of routers, and under loss."""
+    figures: dict[str, object] = {"lines": []}
+    for seed in arguments.seeds:
+        print(f"seed {seed}:")
+        lines = measure_gossip(seed, arguments.sizes, arguments.seconds)
+        figures["lines"] += print_lines(lines)
+        figures[f"loss_{seed}"] = measure_loss(seed, arguments.seconds)
+    return figures
+
+
+def run_relay(arguments: argparse.Namespace) -> dict[str, object]:
+    """Measures a hop, once for each seed."""
+    return {
+        f"relay_{seed}": uvloop.run(measure_relay()) for seed in arguments.seeds
+    }
+
+
+def run_calls(arguments: argparse.Namespace) -> dict[str, object]:
+    """Counts calls to the key-value service."""
+    del arguments
+    return {"calls": uvloop.run(measure_calls(CALLS_S))}
+
+
+SECTIONS = {
+    "state": run_state,
+    "membership": run_membership,
+    "relay": run_relay,
+    "calls": run_calls,
+}
+
+
 def main() -> None:
-    """Runs all sections."""
+    """Runs the chosen sections."""
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("sections", nargs="*", help=", ".join(SECTIONS))
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2])
     parser.add_argument(
         "--sizes", type=int, nargs="+", default=[3, 9, 24, 48, 96]
     )
-    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--out", type=pathlib.Path, default=pathlib.Path("out"))
     arguments = parser.parse_args()
     arguments.out.mkdir(parents=True, exist_ok=True)
     fits: list[dict] = []
-    extra: dict[str, object] = {}
-    for title, work in (
-        ("state", measure_state),
-        ("chats", measure_chats),
-        ("accounts", measure_accounts),
-        ("configuration", measure_configuration),
-    ):
-        print(f"{title}:")
-        fits += print_lines(work())
-    for seed in arguments.seeds:
-        print(f"membership, seed {seed}:")
-        lines = measure_gossip(seed, arguments.sizes, arguments.seconds)
-        fits += print_lines(lines)
-        print(f"membership with lost datagrams, seed {seed}:")
-        extra[f"loss_{seed}"] = measure_loss(seed, arguments.seconds)
-        print(f"relaying, run {seed}:")
-        extra[f"relay_{seed}"] = uvloop.run(measure_relay(seed))
-    print("calls to the key-value service:")
-    extra["calls"] = uvloop.run(measure_calls(30.0))
-    data = {"lines": fits, **extra}
+    data: dict[str, object] = {}
+    for section in arguments.sections or SECTIONS:
+        print(f"{section}:")
+        figures = SECTIONS[section](arguments)
+        fits += figures.pop("lines", [])
+        data.update(figures)
+    data["lines"] = fits
     (arguments.out / "slopes.json").write_text(json.dumps(data, indent=1))
-    draw(fits, arguments.out / "slopes.png")
+    if fits:
+        draw(fits, arguments.out / "slopes.png")
 
 
 if __name__ == "__main__":
