End streams that nobody reads; answer faults of our own; pressure for all sizes

Cause, read off the code: a stream that was opened and whose caller left before the first read was never counted as ended, so its engine's load stayed one too high and a shutdown waited for it; an unexpected exception gave the HTTP library's page; pressure older than 10 s did not count, which at 360 routers, whose news takes about 20 s, would be most of it, and a fleet of one router never saw its own.

Change: streams have an idempotent close, called wherever they are left; a typed `internal` error; pressure is summed with the loads and counts for 45 s.

--- a/agatedock/chat.py
+++ b/agatedock/chat.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
-from collections.abc import Callable
 import contextlib
 import json
 import logging
@@ -22,6 +21,7 @@
 from agatedock import explain
 from agatedock import fleet
 from agatedock import intake
+from agatedock import loads
 from agatedock import logs
 from agatedock import metrics
 from agatedock import placer
@@ -50,7 +50,7 @@
         engines: placer.Placer,
         records: explain.Records,
         budget: retry.Budget,
-        shed_share: Callable[[str, int, float], float],
+        known_loads: loads.Loads,
         silence_s: float,
         figures: metrics.Metrics,
         seed: int,
@@ -59,7 +59,7 @@
         self._placer = engines
         self._records = records
         self._budget = budget
-        self._shed_share = shed_share
+        self._loads = known_loads
         self._silence_s = silence_s
         self._metrics = figures
         self._random = random.Random(seed)
@@ -79,9 +79,13 @@
         self._shed(plan, now)
         self._budget.earn(self._setting("retry_ratio", plan.call))
         stream = await self._placer.open(plan)
-        if wanted.stream:
-            return await self._stream(request, plan, stream)
-        return await self._collect(plan, stream)
+        try:
+            if wanted.stream:
+                return await self._stream(request, plan, stream)
+            return await self._collect(plan, stream)
+        finally:
+            if plan.stream is not None:
+                plan.stream.close()
 
     def _setting(self, key: str, call: calls.ChatCall):
         return self._view.resolver.get(
@@ -145,7 +149,7 @@
         call = plan.call
         demand = self._demands[call.rank]
         demand.add(call.account, call.work_tokens / call.weight, now)
-        shed = self._shed_share(call.model, call.rank, now)
+        shed = self._loads.find_shed(call.model, call.rank, now)
         share = demand.refuse_share(call.account, shed, now)
         if self._random.random() < share:
             self._note(plan, "refuse", "entry", f"shedding {share:.2f}")
--- a/agatedock/chatrequest.py
+++ b/agatedock/chatrequest.py
@@ -12,6 +12,7 @@
 from agatedock import calls
 from agatedock import errors
 from agatedock import intake
+from agatedock import relay
 
 CHARS_PER_TOKEN = 4
 DEFAULT_ANSWER_TOKENS = 256
@@ -46,7 +47,7 @@
       started: Monotonic time in seconds of acceptance.
       deadline: Monotonic time in seconds up to which an engine is looked for.
       checker: Follows the answer.
-      engine: Engine that runs the request, once one does.
+      stream: Open answer of the engine that runs the request.
       first: Engine that the chat prefers; its home decides on diversions.
       first_token_at: Monotonic time in seconds of the first token.
       maybe_run: True once an engine may have received the request.
@@ -60,7 +61,7 @@
     started: float
     deadline: float
     checker: answers.Checker
-    engine: str = ""
+    stream: relay.Stream | None = None
     first: str = ""
     first_token_at: float = 0.0
     maybe_run: bool = False
--- a/agatedock/compose.py
+++ b/agatedock/compose.py
@@ -46,7 +46,6 @@
 WORK_CHECK_S = 0.2
 RESTART_PAUSE_S = 1.0
 STOP_LINGER_S = 1.0
-STATE_MAX_AGE_S = 10.0
 
 _log = logging.getLogger(__name__)
 
@@ -198,7 +197,7 @@
             engines,
             self._records,
             budget,
-            self._shed_share,
+            self._loads,
             config.limits.upstream_silence_ms / 1000,
             self._metrics,
             self._seed,
@@ -294,12 +293,6 @@
         if pause_s * 1000 > self._config.gossip.suspicion_ms:
             self._holdings.distrust(now)
 
-    def _shed_share(self, model: str, rank: int, now: float) -> float:
-        """Returns the share of a rank's requests that homes want refused."""
-        return state.average_shed(
-            self._table.list_up(), model, rank, now, STATE_MAX_AGE_S
-        )
-
     async def stop(self) -> None:
         """Leaves the fleet, finishes every request in flight, then ends."""
         self._callers.stopping = True
--- a/agatedock/enginecall.py
+++ b/agatedock/enginecall.py
@@ -52,6 +52,7 @@
         self._run = run
         self._response = response
         self._on_end = on_end
+        self._closed = False
 
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yields what has arrived; raises aiohttp.ClientError on a cut."""
@@ -67,7 +68,16 @@
                 yield answers.PREEMPTED_EVENT + answers.EVENT_END
         finally:
             # The last event and the end mark carry no token.
-            self._on_end(max(0, events - 2), ended)
+            self._end(max(0, events - 2), ended)
+
+    def close(self) -> None:
+        """Gives the stream up, also if it was never read."""
+        self._end(0, False)
+
+    def _end(self, tokens: int, ended: bool) -> None:
+        if not self._closed:
+            self._closed = True
+            self._on_end(tokens, ended)
             self._response.close()
 
 
--- a/agatedock/errors.py
+++ b/agatedock/errors.py
@@ -60,6 +60,7 @@
     IN_PROGRESS = "in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
     INTERRUPTED = "interrupted"
+    INTERNAL = "internal"
 
 
 _HTTP_STATUS = {
@@ -78,6 +79,7 @@
     Code.IN_PROGRESS: 409,
     Code.OUTCOME_UNKNOWN: 502,
     Code.INTERRUPTED: 502,
+    Code.INTERNAL: 500,
 }
 
 
--- a/agatedock/loads.py
+++ b/agatedock/loads.py
@@ -5,6 +5,7 @@
 import dataclasses
 import math
 
+from agatedock import fleet
 from agatedock import gate
 from agatedock import homes
 from agatedock import members
@@ -15,6 +16,9 @@
 MEAN_MARGIN = 1.0
 # How long sums over the other routers' states are used again.
 SUM_MAX_AGE_S = 0.05
+# How long what a home published counts; about twice the time in which 360
+# routers tell each other.
+PRESSURE_MAX_AGE_S = 45.0
 
 
 @dataclasses.dataclass
@@ -23,12 +27,16 @@
 
     Attributes:
       averages: Mean requests, running and waiting, on an engine by home.
+      shed: Pressure by rank, summed up over the engines that it speaks for.
+      shed_engines: Number of those engines.
     """
 
     at: float
     engines: int
     load: int
     averages: dict[str, float]
+    shed: list[float]
+    shed_engines: int = 0
 
 
 class Loads:
@@ -75,6 +83,16 @@
         low = max(0.0, load - MEAN_MARGIN * math.sqrt(load))
         return gate.Mean(load / engines, low / engines)
 
+    def find_shed(self, model: str, rank: int, now: float) -> float:
+        """Returns the share of a rank's requests that homes want refused."""
+        others = self._sum_others(model, now)
+        engines, shed = others.shed_engines, others.shed[rank]
+        for item in self.describe_own():
+            if item.model == model:
+                engines += item.engines
+                shed += item.engines * item.shed_permille[rank] / 1000
+        return shed / engines if engines else 0.0
+
     def list_names(
         self, model: str, excluded: tuple[str, ...], now: float
     ) -> list[str]:
@@ -101,7 +119,7 @@
         known = self._others.get(model)
         if known is not None and now - known.at < SUM_MAX_AGE_S:
             return known
-        summed = _Others(now, 0, 0, {})
+        summed = _Others(now, 0, 0, {}, [0.0] * fleet.RANKS_COUNT)
         for member in self._table.list_up():
             if member.state is None or member.name == self._table.own.name:
                 continue
@@ -111,10 +129,19 @@
                     summed.load += item.load
                     total = item.load + item.waiting
                     summed.averages[member.name] = total / item.engines
+                    # Old pressure must not keep callers out.
+                    if now - member.state_at < PRESSURE_MAX_AGE_S:
+                        _add_shed(summed, item)
         self._others[model] = summed
         return summed
 
 
+def _add_shed(summed: _Others, item: wire.ModelLoad) -> None:
+    summed.shed_engines += item.engines
+    for rank, permille in enumerate(item.shed_permille):
+        summed.shed[rank] += item.engines * permille / 1000
+
+
 def _sum_up(model: str, held: list[gate.Gate]) -> wire.ModelLoad:
     ranks = range(len(held[0].shed))
     return wire.ModelLoad(
--- a/agatedock/placer.py
+++ b/agatedock/placer.py
@@ -61,7 +61,7 @@
             opened = await self._ask(plan, engine)
             if not isinstance(opened, calls.Verdict):
                 self._note(plan, "send", engine, "admitted")
-                plan.engine = engine
+                plan.stream = opened
                 return opened
             self._note(plan, opened.outcome.value, engine, opened.reason)
             engine = await self._take_verdict(plan, engine, opened)
@@ -81,14 +81,16 @@
 
     async def cancel(self, plan: chatrequest.Plan) -> None:
         """Tells the engine's home that the caller has left."""
-        owner = self._homes.find(plan.engine)
+        if plan.stream is None:
+            return
+        engine, request_id = plan.stream.engine, plan.call.request_id
+        owner = self._homes.find(engine)
         if owner is None:
             return
-        request_id = plan.call.request_id
         if self._peers.is_own(owner):
-            await self._home.cancel(plan.engine, request_id)
+            await self._home.cancel(engine, request_id)
         else:
-            await self._peers.cancel(owner, plan.engine, request_id)
+            await self._peers.cancel(owner, engine, request_id)
 
     def _note(
         self, plan: chatrequest.Plan, what: str, where: str, why: str
--- a/agatedock/relay.py
+++ b/agatedock/relay.py
@@ -30,6 +30,9 @@
     def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yields what has arrived; raises aiohttp.ClientError on a cut."""
 
+    def close(self) -> None:
+        """Gives the stream up; does nothing once it has ended."""
+
 
 class PeerStream:
     """An answer that another router relays."""
@@ -48,7 +51,11 @@
             while chunk := await self._response.content.readany():
                 yield chunk
         finally:
-            self._response.close()
+            self.close()
+
+    def close(self) -> None:
+        """Gives the stream up; does nothing once it has ended."""
+        self._response.close()
 
 
 class Peers:
--- a/agatedock/servers.py
+++ b/agatedock/servers.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import json
 import logging
 import time
@@ -115,6 +116,13 @@
         except (asyncio.CancelledError, ConnectionError):
             code = "caller_left"
             raise
+        except Exception as error:  # noqa: BLE001
+            code = str(errors.Code.INTERNAL)
+            _log.exception({"event": "request_failed"})
+            failure = errors.Refusal(
+                errors.Code.INTERNAL, f"fault: {error!r}", not_run=False
+            )
+            response = _refuse(failure, caller)
         finally:
             elapsed_ms = int((time.monotonic() - started) * 1000)
             self._metrics.requests.inc({"kind": kind, "code": code})
@@ -261,11 +269,11 @@
     stream: enginecall.EngineStream,
 ) -> web.StreamResponse:
     """Relays a stream; a cut of either side cuts the other."""
-    chunks = stream.chunks()
     try:
         await response.prepare(request)
-        async for chunk in chunks:
-            await response.write(chunk)
+        async with contextlib.aclosing(stream.chunks()) as chunks:
+            async for chunk in chunks:
+                await response.write(chunk)
         await response.write_eof()
     except (aiohttp.ClientError, TimeoutError) as error:
         logs.event(
@@ -279,7 +287,7 @@
         if request.transport is not None:
             request.transport.abort()
     finally:
-        await chunks.aclose()
+        stream.close()
     return response
 
 
--- a/agatedock/state.py
+++ b/agatedock/state.py
@@ -1,39 +1,13 @@
-"""Summaries of a router's state, for the dump and for shedding."""
+"""Summaries of a router's state, for the dump."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 from agatedock import holdings
 from agatedock import homes
 from agatedock import members
 from agatedock import upstreams
 
 
-def average_shed(
-    routers: Iterable[members.Member],
-    model: str,
-    rank: int,
-    now: float,
-    max_age_s: float,
-) -> float:
-    """Returns the share of a rank that the homes of a model want refused.
-
-    What a home published counts only for a while, so that silence of a home
-    never keeps callers out.
-    """
-    engines = 0
-    weighted = 0.0
-    for member in routers:
-        if member.state is None or now - member.state_at > max_age_s:
-            continue
-        for item in member.state.loads:
-            if item.model == model and len(item.shed_permille) > rank:
-                engines += item.engines
-                weighted += item.engines * item.shed_permille[rank] / 1000
-    return weighted / engines if engines else 0.0
-
-
 def describe_members(table: members.Table, now: float) -> list[dict]:
     """Returns the routers as this one sees them."""
     return [
