Check that a new engine goes on from the text so far

Cause: the variant that sends no text so far to a new engine was not caught, because the stand-in makes the same text again from the start. Change: the engine's record must show a run that began further on.

--- a/test/test_faults.py
+++ b/test/test_faults.py
@@ -54,6 +54,14 @@
             self.assertEqual(
                 answer.tokens(), helper.expect_tokens("hello", LONG)
             )
+            # The new engine went on from the text so far, not from the start.
+            offsets = [
+                run["offset"]
+                for name, process in running.upstreams.items()
+                if name.startswith("llm") and process.alive
+                for run in (await running.read(process))["runs"]
+            ]
+            self.assertTrue(any(offset > 5 for offset in offsets), offsets)
 
     async def test_crossed_answer_never_reaches_the_caller(self):
         async with fleet.Fleet(helper.make_plan(engines=1)) as running:
