Run stand-ins and the bare relay on uvloop like the routers

Cause: the bare relay, the baseline of a hop, ran on the slower event loop and made the hop look cheaper.

--- a/standins/host.py
+++ b/standins/host.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from aiohttp import web
+import uvloop
 
 
 class Faults(dict):
@@ -47,7 +48,7 @@
 
 def run(app: web.Application, arguments: argparse.Namespace) -> None:
     """Serves until SIGTERM; prints the port once it is bound."""
-    asyncio.run(_run(app, arguments))
+    uvloop.run(_run(app, arguments))
 
 
 async def _run(app: web.Application, arguments: argparse.Namespace) -> None:
