--- a/agatedock/compose.py
+++ b/agatedock/compose.py
@@ -178,6 +178,8 @@
         )
         self._gossip.listener = self._news
 
+    def _make_routes(self) -> None:
+        config = self._config
         self._reader = reports.Reader(
             config.home,
             self._home,
@@ -185,9 +187,6 @@
             self._upstreams,
             self._client,
         )
-
-    def _make_routes(self) -> None:
-        config = self._config
         budget = retry.Budget()
         peers = relay.Peers(config.name, self._client, config.limits)
         engines = placer.Placer(
