Wait for a closed engine that opens in time if no other is left

Cause: under churn 2 of 223 requests were refused with "engine closed": their last engine was in its quiet time, which ended well before their targets. Ruled out: a lack of room (all engines were below their bound). Change: such a request waits in the queue; the new test failed before (8 passed, 1 failed) and passes after.

--- a/agatedock/gate.py
+++ b/agatedock/gate.py
@@ -195,7 +195,7 @@
         """
         self._offered[call.rank] += 1
         if now < self.open_from or not self.is_usable(now):
-            return self._turn_away(call, can_divert, "engine closed", 1.0)
+            return self._decide_closed(call, can_divert, now)
         room = self.room(limits, settled, now)
         kept = 0
         if not cached_tokens and can_divert:
@@ -214,6 +214,16 @@
             )
         return Decision(Choice.WAIT, "queued by rank", wait_s)
 
+    def _decide_closed(
+        self, call: calls.ChatCall, can_divert: bool, now: float
+    ) -> Decision:
+        """Chooses for an engine that opens later or not at all."""
+        opens_at = max(self.open_from, self._ejected_until)
+        wait_s = opens_at - now
+        if not can_divert and not self.draining and opens_at < call.deadline:
+            return Decision(Choice.WAIT, "engine opens soon", wait_s)
+        return self._turn_away(call, can_divert, "engine closed", wait_s)
+
     def _patience_s(
         self, call: calls.ChatCall, cached_tokens: int, now: float
     ) -> float:
--- a/test/test_props.py
+++ b/test/test_props.py
@@ -161,6 +161,18 @@
         late = home.decide(make_call(1), limits, True, 0, True, 103.0)
         self.assertEqual(late.choice, gate.Choice.RUN)
 
+    def test_last_engine_is_waited_for_if_it_opens_in_time(self):
+        home = gate.Gate("llm-0", FLOORS)
+        home.open_from = 103.0
+        limits = gate.Limits(8, 8)
+        soon = make_call(1, deadline=104.0)
+        decision = home.decide(soon, limits, True, 0, False, 101.0)
+        self.assertEqual(decision.choice, gate.Choice.WAIT)
+        late = make_call(2, deadline=102.0)
+        decision = home.decide(late, limits, True, 0, False, 101.0)
+        self.assertEqual(decision.choice, gate.Choice.REFUSE)
+        self.assertAlmostEqual(decision.wait_s, 2.0)
+
     def test_missed_target_is_refused_at_once(self):
         home = gate.Gate("llm-0", FLOORS)
         home.open_from = 0.0
