Stop when no replica is left; a lookup that may have run is not "not run"

Cause: with every replica of a service dead and fewer replicas than tries, a request asked for another replica for ever without letting go of the event loop; the router answered nobody and grew by gigabytes. And a lookup whose first try may have run and whose second found no connection was refused as not run.

Change: one loop for both kinds of request; that no replica is left ends it; not run is said only if it holds for every replica tried.

--- a/agatedock/plain.py
+++ b/agatedock/plain.py
@@ -304,38 +304,57 @@
     async def _repeat(self, job: Job) -> Answer:
         """Sends an idempotent request, again if need be and budgeted."""
         self._budget.earn(self._setting("retry_ratio", job))
-        tried: list[str] = []
-        while True:
-            try:
-                return await self._try(job, tried, self._client)
-            except errors.Refusal as refusal:
-                last = len(tried) >= TRIES_MAX
-                if not tried or last or not self._budget.spend():
-                    raise
-                self._note(job, "retry", tried[-1], str(refusal))
+        return await self._try_replicas(
+            job, self._client, lambda refusal: self._budget.spend()
+        )
 
     async def _send_once(self, job: Job) -> Answer:
         """Sends a non-idempotent request at most once.
 
         Another replica is tried only if no byte reached the first one.
         """
+        return await self._try_replicas(
+            job, self._single_use_client, lambda refusal: refusal.not_run
+        )
+
+    async def _try_replicas(
+        self,
+        job: Job,
+        client: aiohttp.ClientSession,
+        may_repeat: Callable[[errors.Refusal], bool],
+    ) -> Answer:
+        """Sends a request to one replica after the other until one answers.
+
+        Raises:
+          errors.Refusal: No replica is left, or the request may not be sent
+            again; not run only if that holds for every replica tried.
+        """
         tried: list[str] = []
+        not_run = True
         while True:
             try:
-                return await self._try(job, tried, self._single_use_client)
+                chosen = self._choose(job, tried)
+            except errors.Refusal as refusal:
+                refusal.not_run = not_run
+                raise
+            tried.append(chosen.name)
+            try:
+                return await self._try(job, chosen, client)
             except errors.Refusal as refusal:
-                exhausted = len(tried) >= TRIES_MAX
-                if not refusal.not_run or not tried or exhausted:
+                not_run = not_run and refusal.not_run
+                refusal.not_run = not_run
+                if len(tried) >= TRIES_MAX or not may_repeat(refusal):
                     raise
-                self._note(job, "next", tried[-1], str(refusal))
+                self._note(job, "next", chosen.name, str(refusal))
 
     async def _try(
-        self, job: Job, tried: list[str], client: aiohttp.ClientSession
+        self,
+        job: Job,
+        chosen: upstreams.Upstream,
+        client: aiohttp.ClientSession,
     ) -> Answer:
-        """Sends a request to one more replica, whose name joins `tried`."""
-        chosen = self._choose(job, tried)
-        tried.append(chosen.name)
-        replica = self._replicas.setdefault(chosen.name, _Replica())
+        """Sends a request to one replica and learns from the outcome."""
+        replica = self._state(chosen)
         replica.running += 1
         try:
             answer = await self._send(job, chosen, client)
--- a/test/test_faults.py
+++ b/test/test_faults.py
@@ -258,6 +258,36 @@
             self.assertLessEqual(statuses, {200, 409})
             self.assertEqual(await caller.count_runs("order"), 1)
 
+    async def test_all_replicas_dead_is_refused_at_once(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            router = running.routers["router-0"]
+            await running.upstreams["shop-0"].kill()
+            await running.upstreams["shop-1"].kill()
+            async with asyncio.timeout(10):
+                for key in ("", "k1"):
+                    answer = await caller.order(router, "order", key)
+                    self.assertEqual(answer.error["code"], "no_upstream")
+                    self.assertTrue(answer.error["not_run"])
+                url = f"{router.url}/svc/shop/stock"
+                answer = await caller.send("GET", url)
+                self.assertEqual(answer.error["code"], "no_upstream")
+                self.assertTrue((await caller.chat(router, "c")).whole)
+
+    async def test_lookup_that_may_have_run_is_not_called_not_run(self):
+        async with fleet.Fleet(helper.make_plan(engines=1)) as running:
+            caller = helper.Caller(running)
+            router = running.routers["router-0"]
+            await running.upstreams["shop-0"].kill()
+            replica = running.upstreams["shop-1"]
+            await running.set_faults(replica, drop_answers=9)
+            for index in range(4):
+                url = f"{router.url}/svc/shop/stock/{index}"
+                answer = await caller.send("GET", url)
+                runs = await running.read(replica)
+                ran = any(r["path"] == f"/stock/{index}" for r in runs)
+                self.assertFalse(ran and answer.error["not_run"])
+
     async def test_dead_replica_is_passed_over(self):
         async with fleet.Fleet(helper.make_plan(engines=1)) as running:
             caller = helper.Caller(running)
