One module for the health of upstreams

Cause: the same ejection logic stood in gate and plain, with a difference: a replica's good answer forgot at once that it flaps. Change: health.py serves both; a flapping replica is now held back longer each time, as engines were.

--- a/agatedock/gate.py
+++ b/agatedock/gate.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from agatedock import calls
+from agatedock import health
 from agatedock import rankqueue
 
 # Weight of the newest sample in moving averages.
@@ -26,9 +27,6 @@
 # How far an engine's load may be ahead of its last report: the engine's own
 # lag and the longest time between two polls.
 REPORT_LAG_S = 2.5
-FAILURES_TO_EJECT = 2
-EJECT_S = 1.0
-EJECT_MAX_S = 30.0
 # Requests without a prefix in the engine's cache leave this share of the
 # bound to chats that return.
 NEW_CHAT_SHARE = 0.9
@@ -140,10 +138,7 @@
             collections.deque()
         )
         self._sent_at: collections.deque[float] = collections.deque()
-        self._failures = 0
-        self._ejections = 0
-        self._ejected_until = 0.0
-        self._ejected_at = 0.0
+        self.health = health.Health()
 
     def load(self) -> int:
         """Returns the requests on the engine, those of others included."""
@@ -158,7 +153,7 @@
 
     def is_usable(self, now: float) -> bool:
         """Tells whether the engine takes requests at all."""
-        return not self.draining and now >= self._ejected_until
+        return not self.draining and self.health.is_good(now)
 
     def room(self, limits: Limits, settled: bool, now: float) -> int:
         """Returns how many requests may be sent now.
@@ -218,7 +213,7 @@
         self, call: calls.ChatCall, can_divert: bool, now: float
     ) -> Decision:
         """Chooses for an engine that opens later or not at all."""
-        opens_at = max(self.open_from, self._ejected_until)
+        opens_at = max(self.open_from, self.health.ejected_until)
         wait_s = opens_at - now
         if not can_divert and not self.draining and opens_at < call.deadline:
             return Decision(Choice.WAIT, "engine opens soon", wait_s)
@@ -376,21 +371,6 @@
         ):
             self._own_peaks.popleft()
 
-    def take_result(self, ok: bool, now: float) -> None:
-        """Ejects an engine that keeps failing, longer each time."""
-        if ok:
-            self._failures = 0
-            if now - self._ejected_at > EJECT_MAX_S:
-                self._ejections = 0
-            return
-        self._failures += 1
-        if self._failures >= FAILURES_TO_EJECT:
-            hold_s = min(EJECT_MAX_S, EJECT_S * 2**self._ejections)
-            self._ejections += 1
-            self._failures = 0
-            self._ejected_at = now
-            self._ejected_until = now + hold_s
-
     def update_shed(self) -> None:
         """Adjusts the share of each rank to refuse at entry, once a second."""
         for rank, offered in enumerate(self._offered):
--- a/agatedock/home.py
+++ b/agatedock/home.py
@@ -229,7 +229,7 @@
         except asyncio.CancelledError:
             self._keep(self._linger(call, held, stream_id, run))
             raise
-        held.take_result(True, time.monotonic())
+        held.health.take_result(True, time.monotonic())
         self._holdings.prefixes[(call.engine, call.chat)] = call.prompt_tokens
         self.streams += 1
 
@@ -252,7 +252,7 @@
             held.draining = True
             self._note_leaving(call.engine, True)
         self._forget_run(held, call, 0)
-        held.take_result(False, time.monotonic())
+        held.health.take_result(False, time.monotonic())
         logs.event(
             _log,
             "engine_failed",
@@ -318,7 +318,7 @@
         """Takes in that an engine's load could not be read."""
         held = self._holdings.gates.get(engine)
         if held is not None:
-            held.take_result(False, time.monotonic())
+            held.health.take_result(False, time.monotonic())
 
     async def run_shedding(self) -> None:
         """Updates published pressure until cancelled."""
--- a/agatedock/plain.py
+++ b/agatedock/plain.py
@@ -19,7 +19,7 @@
 from agatedock import errors
 from agatedock import explain
 from agatedock import fleet
-from agatedock import gate
+from agatedock import health
 from agatedock import intake
 from agatedock import logs
 from agatedock import platform
@@ -85,22 +85,7 @@
     """What this router knows of a replica's load and health."""
 
     running: int = 0
-    failures: int = 0
-    ejections: int = 0
-    ejected_until: float = 0.0
-
-    def take_result(self, ok: bool, now: float) -> None:
-        """Ejects a replica that keeps failing, longer each time."""
-        if ok:
-            self.failures = 0
-            self.ejections = 0
-            return
-        self.failures += 1
-        if self.failures >= gate.FAILURES_TO_EJECT:
-            hold_s = min(gate.EJECT_MAX_S, gate.EJECT_S * 2**self.ejections)
-            self.ejections += 1
-            self.failures = 0
-            self.ejected_until = now + hold_s
+    health: health.Health = dataclasses.field(default_factory=health.Health)
 
 
 class PlainRoute:
@@ -359,11 +344,11 @@
         try:
             answer = await self._send(job, chosen, client)
         except errors.Refusal:
-            replica.take_result(False, time.monotonic())
+            replica.health.take_result(False, time.monotonic())
             raise
         finally:
             replica.running -= 1
-        replica.take_result(True, time.monotonic())
+        replica.health.take_result(True, time.monotonic())
         self._note(job, "send", chosen.name, f"status {answer.status}")
         return answer
 
@@ -377,7 +362,7 @@
             if u.name not in tried
         ]
         # If every replica is ejected, trying beats refusing.
-        healthy = [u for u in live if now >= self._state(u).ejected_until]
+        healthy = [u for u in live if self._state(u).health.is_good(now)]
         room = [u for u in healthy or live if self._state(u).running < slots]
         if live and not room:
             raise errors.Refusal(
--- a/test/test_props.py
+++ b/test/test_props.py
@@ -243,8 +243,8 @@
         home = gate.Gate("llm-0", FLOORS)
         now, holds = 100.0, []
         for _ in range(4):
-            home.take_result(False, now)
-            home.take_result(False, now)
+            home.health.take_result(False, now)
+            home.health.take_result(False, now)
             start = now
             while not home.is_usable(now):
                 now += 0.1
