--- a/agatedock/compose.py
+++ b/agatedock/compose.py
@@ -14,6 +14,7 @@
 
 from agatedock import chat
 from agatedock import clients
+from agatedock import clock
 from agatedock import enginecall
 from agatedock import errors
 from agatedock import explain
@@ -106,7 +107,7 @@
         config = self._config
         own = wire.MemberItem(
             name=config.name,
-            incarnation=time.time_ns() // 1_000_000,
+            incarnation=clock.read_wall_ms(),
             status=wire.Status.ALIVE,
             host=config.listen.host,
             gossip_port=0,
--- a/agatedock/explain.py
+++ b/agatedock/explain.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 
 import cachetools
 
+from agatedock import clock
+
 RECORDS_MAX = 2000
 
 
@@ -40,7 +41,7 @@
         steps = self._steps.get(request_id)
         if steps is None:
             steps = self._steps[request_id] = []
-        steps.append(Step(time.time_ns() // 1_000_000, what, where, why))
+        steps.append(Step(clock.read_wall_ms(), what, where, why))
 
     def get(self, request_id: str) -> list[Step]:
         """Returns the decisions about a request in order."""
--- a/agatedock/news.py
+++ b/agatedock/news.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+from agatedock import clock
 from agatedock import errors
 from agatedock import follow
 from agatedock import gossip
@@ -54,7 +55,7 @@
     def note_leaving(self, upstream: str, leaving: bool) -> None:
         """Takes what an upstream said of itself, and spreads it if new."""
         item = self._upstreams.note_leaving(
-            upstream, leaving, time.monotonic(), _wall_ms()
+            upstream, leaving, time.monotonic(), clock.read_wall_ms()
         )
         if item is not None:
             self._spread_leaving(item)
@@ -113,12 +114,8 @@
         if rows is None:
             return
         now = time.monotonic()
-        for item in self._upstreams.take_rows(rows, now, _wall_ms()):
+        for item in self._upstreams.take_rows(rows, now, clock.read_wall_ms()):
             self._spread_leaving(item)
         for row in rows:
             if row.role == "router":
                 self._table.seed(row, now)
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/agatedock/plain.py
+++ b/agatedock/plain.py
@@ -15,6 +15,7 @@
 from returns import result
 
 from agatedock import claims
+from agatedock import clock
 from agatedock import enginecall
 from agatedock import errors
 from agatedock import explain
@@ -192,7 +193,7 @@
         )
         limit_ms = self._limits.service_timeout_ms
         limit_ms += self._limits.connect_timeout_ms * TRIES_MAX
-        fresh = claims.create(wanted, _wall_ms() + limit_ms)
+        fresh = claims.create(wanted, clock.read_wall_ms() + limit_ms)
         try:
             taken = await claims.take(self._kv, key, fresh, ttl_ms)
         except errors.Unavailable:
@@ -269,7 +270,7 @@
         )
 
     def _refuse_unsettled(self, first: claims.Claim) -> errors.Refusal:
-        left_ms = first.settled_by_ms - _wall_ms()
+        left_ms = first.settled_by_ms - clock.read_wall_ms()
         if left_ms > 0:
             return errors.Refusal(
                 errors.Code.IN_PROGRESS,
@@ -469,7 +470,3 @@
             "X-Served-By": answer.replica,
         },
     )
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/agatedock/resolve.py
+++ b/agatedock/resolve.py
@@ -4,9 +4,9 @@
 
 import dataclasses
 import itertools
-import time
 from typing import Any
 
+from agatedock import clock
 from agatedock import fleet
 
 _FIELDS = ("account", "model", "service")
@@ -55,7 +55,7 @@
 
     def get(self, key: str, **scope: str) -> Any:
         """Returns the value of a default in a scope at the present time."""
-        now_ms = time.time_ns() // 1_000_000
+        now_ms = clock.read_wall_ms()
         return self.resolve(key, fleet.Match(**scope), now_ms).value
 
     def _list_places(self, scope: fleet.Match) -> set[tuple[str, ...]]:
--- a/agatedock/ui/config.py
+++ b/agatedock/ui/config.py
@@ -16,6 +16,7 @@
 from returns import result
 import yaml
 
+from agatedock import clock
 from agatedock import errors
 from agatedock import fleet
 from agatedock import places
@@ -69,7 +70,7 @@
       errors.FindingsError: With every finding and its place.
     """
     data, lines = places.load_file(path)
-    return fleet.check(data, lines, str(path), _wall_ms())
+    return fleet.check(data, lines, str(path), clock.read_wall_ms())
 
 
 def show(command: Show) -> None:
@@ -132,7 +133,7 @@
     stored = await _with_store(command, store.read)
     data = json.loads(fleet.encode(stored.document))
     data["defaults"][command.key] = yaml.safe_load(command.value)
-    document = fleet.check(data, {}, "command line", _wall_ms())
+    document = fleet.check(data, {}, "command line", clock.read_wall_ms())
     await _edit(command, document, stored.document.revision)
 
 
@@ -228,7 +229,7 @@
         )
         stamped = _stamp(held, command.author, command.reason)
         outcome = await store.commit(
-            kv, stamped, base, held.revision, _wall_ms()
+            kv, stamped, base, held.revision, clock.read_wall_ms()
         )
     finally:
         await kv.close()
@@ -291,7 +292,9 @@
                 str(store.Rejected(store.Fault.CONFLICT, stored.document)),
             )
         stamped = _stamp(document, command.author, command.reason)
-        outcome = await store.commit(kv, stamped, stored, revision, _wall_ms())
+        outcome = await store.commit(
+            kv, stamped, stored, revision, clock.read_wall_ms()
+        )
     finally:
         await kv.close()
     await _finish(command, outcome)
@@ -370,7 +373,3 @@
 
 def _format_time(moment_ms: int) -> str:
     return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(moment_ms / 1000))
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
