--- a/agatedock/clock.py
+++ b/agatedock/clock.py
@@ -1,4 +1,4 @@
-"""Wall-clock time, for what is compared between VMs or shown to people."""
+"""Clocks: wall-clock time for what is compared between VMs, steady time."""
 
 from __future__ import annotations
 
@@ -8,3 +8,8 @@
 def read_wall_ms() -> int:
     """Returns the wall-clock time in milliseconds."""
     return time.time_ns() // 1_000_000
+
+
+def read_steady_s() -> float:
+    """Returns seconds of a clock that never steps and counts suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/agatedock/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: where, whether and how often a request is sent."""
--- /dev/null
+++ b/agatedock/decisions/placement.py
@@ -0,0 +1,189 @@
+"""Chooses the replica of a request.
+
+Two policies. `prefix` answers the load of returning chats: requests that share
+a prompt part go to the same replica, wherever they enter, as long as no
+replica carries much more than the mean. `least` answers the load of short
+independent requests: the replica with the fewest running requests gets them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+from typing import Protocol
+
+from agatedock import hashing
+from agatedock import registry
+from agatedock.domain import replicas
+from agatedock.domain import requests
+from agatedock.views import prefixes
+
+# A replica gets no more chats above this multiple of the mean plus the slack,
+# counted in running requests. The promise is 2 x the mean + 3; the rest is for
+# requests that other routers have placed and not yet told of.
+BOUND_FACTOR = 1.5
+BOUND_SLACK = 1.5
+# A replica whose failure rate is above this, and above the lowest one by the
+# same amount, is chosen only if no other is left.
+FAILURE_RATE_MAX = 0.3
+# A cached part is taken for present at its last reader for this long.
+CACHED_S = 30.0
+
+
+class Loads(Protocol):
+    """Running requests by replica."""
+
+    def running(self, replica_id: str) -> int:
+        """Returns the requests running at a replica."""
+
+
+class Conditions(Protocol):
+    """How replicas have answered lately."""
+
+    def is_suspended(self, replica_id: str, now: float) -> bool:
+        """Tells whether a replica is left alone for now."""
+
+    def failure_rate(self, replica_id: str, now: float) -> float:
+        """Returns the share of failed answers lately."""
+
+
+@dataclasses.dataclass(frozen=True)
+class View:
+    """What a placement is decided from."""
+
+    loads: Loads
+    conditions: Conditions
+    prefixes: prefixes.Prefixes
+    zone: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a request goes.
+
+    Attributes:
+      fetch_from: Replica that holds parts of the prompt which the chosen one
+        lacks; None if there is none.
+      reason: For the log.
+      running: Requests at the chosen replica when it was chosen.
+      mean: Mean of running requests over the service's replicas.
+    """
+
+    replica: replicas.Replica
+    fetch_from: replicas.Replica | None
+    reason: str
+    running: int
+    mean: float
+
+
+Policy = Callable[
+    [requests.Request, list[replicas.Replica], View, float], Placement
+]
+policies: registry.Registry[Policy] = registry.Registry("placement policy")
+
+
+def choose(
+    request: requests.Request,
+    usable: list[replicas.Replica],
+    tried: frozenset[str],
+    view: View,
+    now: float,
+) -> Placement | None:
+    """Returns where to send a request, None if no replica is left.
+
+    Args:
+      request: The request.
+      usable: Replicas of its service that take new requests.
+      tried: Ids of replicas that it was already sent to.
+      view: Loads, conditions and cached parts.
+      now: Present time in seconds.
+    """
+    healthy = _keep_healthy(usable, tried, view, now)
+    if not healthy:
+        return None
+    name = "prefix" if request.affinity_key else "least"
+    return policies.get(name)(request, healthy, view, now)
+
+
+def _keep_healthy(
+    usable: list[replicas.Replica],
+    tried: frozenset[str],
+    view: View,
+    now: float,
+) -> list[replicas.Replica]:
+    """Returns the untried replicas, without failing ones if others are left."""
+    untried = [item for item in usable if item.replica_id not in tried]
+    awake = [
+        item
+        for item in untried
+        if not view.conditions.is_suspended(item.replica_id, now)
+    ]
+    candidates = awake or untried
+    rates = {
+        item.replica_id: view.conditions.failure_rate(item.replica_id, now)
+        for item in candidates
+    }
+    ceiling = min(rates.values(), default=0.0) + FAILURE_RATE_MAX
+    return [item for item in candidates if rates[item.replica_id] <= ceiling]
+
+
+def _mean_running(items: list[replicas.Replica], view: View) -> float:
+    total = sum(view.loads.running(item.replica_id) for item in items)
+    return total / len(items)
+
+
+@policies.register("prefix")
+def place_by_prefix(
+    request: requests.Request,
+    candidates: list[replicas.Replica],
+    view: View,
+    now: float,
+) -> Placement:
+    """Prefers the replica that the shared part hashes to, under the bound."""
+    key = request.affinity_key
+    by_id = {item.replica_id: item for item in candidates}
+    mean = _mean_running(candidates, view)
+    bound = BOUND_FACTOR * mean + BOUND_SLACK
+    ranked = hashing.rank(key, by_id)
+    chosen_id = next(
+        (name for name in ranked if view.loads.running(name) < bound), None
+    )
+    reason = "prefix" if chosen_id == ranked[0] else "bound"
+    if chosen_id is None:
+        chosen_id = min(ranked, key=view.loads.running)
+    reading = view.prefixes.find(key)
+    fetch_from = None
+    if reading is not None and now - reading.at < CACHED_S:
+        fetch_from = by_id.get(reading.replica_id)
+    chosen = by_id[chosen_id]
+    return Placement(
+        replica=chosen,
+        fetch_from=fetch_from if fetch_from is not chosen else None,
+        reason=reason,
+        running=view.loads.running(chosen_id),
+        mean=mean,
+    )
+
+
+@policies.register("least")
+def place_by_load(
+    request: requests.Request,
+    candidates: list[replicas.Replica],
+    view: View,
+    now: float,
+) -> Placement:
+    """Prefers the least loaded replica, then one in this failure domain."""
+
+    def weigh(item: replicas.Replica) -> tuple[int, bool, int]:
+        running = view.loads.running(item.replica_id)
+        tie = hashing.score(request.request_id, item.replica_id)
+        return running, item.zone != view.zone, tie
+
+    chosen = min(candidates, key=weigh)
+    return Placement(
+        replica=chosen,
+        fetch_from=None,
+        reason="least",
+        running=view.loads.running(chosen.replica_id),
+        mean=_mean_running(candidates, view),
+    )
--- /dev/null
+++ b/agatedock/decisions/retries.py
@@ -0,0 +1,99 @@
+"""Whether a request may be sent to another replica.
+
+Answers the load that retries add when replicas fail: each service's repeats
+stay within a share of its requests, which all routers keep to without talk.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+
+# Part of the allowed repeats that is used; the rest covers routers that count
+# their peers wrongly.
+SAFETY = 0.7
+# Peers assumed until the first listing of routers.
+ROUTERS_ASSUMED = 8
+
+
+class Outcome(enum.StrEnum):
+    """How sending a request to one replica ended without a usable answer."""
+
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    MOVED = "moved"
+    FAILED = "failed"
+    BROKEN = "broken"
+    SILENT = "silent"
+
+
+# The request was not run there, and never will be.
+CERTAINLY_NOT_RUN = frozenset(
+    {Outcome.NOT_SENT, Outcome.NOT_RUN, Outcome.MOVED}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """The fleet's limit on repeats.
+
+    Attributes:
+      ratio: Repeats allowed for each request.
+      slack: Repeats allowed besides, for the whole fleet in one window.
+      window_s: Length of the window.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+def may_repeat(idempotent: bool, outcome: Outcome) -> bool:
+    """Tells whether a second send keeps a request from running twice."""
+    return idempotent or outcome in CERTAINLY_NOT_RUN
+
+
+class Budget:
+    """This router's part of the fleet's allowed repeats, by service."""
+
+    def __init__(self, terms: Terms) -> None:
+        self._terms = terms
+        self._firsts: dict[str, collections.deque[float]] = {}
+        self._repeats: dict[str, collections.deque[float]] = {}
+
+    def set_terms(self, terms: Terms) -> None:
+        """Replaces the limit."""
+        self._terms = terms
+
+    def count_first(self, service: str, now: float) -> None:
+        """Counts the first send of a request."""
+        self._trim(self._firsts, service, now).append(now)
+
+    def spend(self, service: str, routers: int, now: float) -> bool:
+        """Takes one repeat out of the budget if there is one left.
+
+        Args:
+          service: Where the repeat goes.
+          routers: Routers of the fleet that are known to run.
+          now: Present time in seconds.
+        """
+        firsts = len(self._trim(self._firsts, service, now))
+        repeats = self._trim(self._repeats, service, now)
+        share = self._terms.slack / max(1, routers)
+        allowed = SAFETY * (self._terms.ratio * firsts + share)
+        if len(repeats) + 1 > allowed:
+            return False
+        repeats.append(now)
+        return True
+
+    def _trim(
+        self,
+        by_service: dict[str, collections.deque[float]],
+        service: str,
+        now: float,
+    ) -> collections.deque[float]:
+        times = by_service.setdefault(service, collections.deque())
+        while times and now - times[0] > self._terms.window_s:
+            times.popleft()
+        return times
--- /dev/null
+++ b/agatedock/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Types of the product's own words: routes, replicas, requests."""
--- /dev/null
+++ b/agatedock/domain/requests.py
@@ -0,0 +1,53 @@
+"""One request of a client, decoded from whatever interface it came by."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A piece of a prompt that requests may share, and its size in tokens."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One attempt of a client.
+
+    Attributes:
+      request_id: As the client sent it; empty if it sent none.
+      target: Path and query, exactly as received.
+      headers: End-to-end headers that may be passed on unchanged.
+      key: API key; empty if none was sent.
+      patience_s: How long the client waits; None if it did not say.
+      prompt: Parts in order; the last one is private to this request or chat.
+      last_event_id: Where a stream is to continue; None from its start.
+      arrived_at: Clock reading when the request line was read, in seconds.
+    """
+
+    request_id: str
+    method: str
+    host: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    key: str
+    patience_s: float | None
+    prompt: tuple[PromptPart, ...]
+    last_event_id: str | None
+    arrived_at: float
+
+    @property
+    def path(self) -> str:
+        """Returns the target without its query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def affinity_key(self) -> str:
+        """Returns what requests that profit from the same cache share."""
+        if not self.prompt:
+            return ""
+        shared = self.prompt[-2] if len(self.prompt) > 1 else self.prompt[0]
+        return shared.part_id
--- /dev/null
+++ b/agatedock/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What routers tell each other."""
--- /dev/null
+++ b/agatedock/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request, from the client to a replica and back."""
--- /dev/null
+++ b/agatedock/serving/frontend.py
@@ -0,0 +1,193 @@
+"""HTTP server that clients connect to."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+
+from aiohttp import web
+
+from agatedock import logs
+from agatedock.domain import configuration
+from agatedock.serving import declines
+from agatedock.serving import exchange
+from agatedock.serving import journal
+
+_log = logging.getLogger(__name__)
+
+# Before the first configuration is known.
+DEFAULT_IDLE_S = 60.0
+DEFAULT_HEADER_BYTES = 16 * 1024
+HEADERS_MAX = 256
+# How long a connection is read on after an early answer, so that closing it
+# does not reset it.
+LINGER_S = 2.0
+
+Run = Callable[[web.BaseRequest, "HttpClient"], Awaitable[journal.Entry]]
+
+
+class HttpClient(exchange.Client):
+    """The client's side of one HTTP request.
+
+    Attributes:
+      closing: Answers tell the client to use another connection.
+    """
+
+    def __init__(self, raw: web.BaseRequest, closing: Callable[[], bool]):
+        self._raw = raw
+        self._closing = closing
+        self._response: web.StreamResponse | None = None
+
+    async def read_body(self, limit_bytes: int, timeout_s: float) -> bytes:
+        """Returns the whole body."""
+        raw = self._raw
+        if not raw.body_exists:
+            return b""
+        if (raw.content_length or 0) > limit_bytes:
+            raise declines.Declined(declines.Reason.BODY_TOO_LARGE)
+        if raw.headers.get("Expect", "").lower() == "100-continue":
+            await raw.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            raw.writer.output_size = 0
+        pieces: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(timeout_s):
+                async for piece in raw.content.iter_any():
+                    pieces.append(piece)
+                    size += len(piece)
+                    if size > limit_bytes:
+                        raise declines.Declined(declines.Reason.BODY_TOO_LARGE)
+        except TimeoutError as error:
+            raise declines.Declined(declines.Reason.BODY_TIMEOUT) from error
+        except web.RequestPayloadError as error:
+            raise declines.Declined(declines.Reason.BAD_REQUEST) from error
+        return b"".join(pieces)
+
+    async def answer(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Sends a whole answer."""
+        response = web.Response(status=status, body=body)
+        _fill_headers(response, headers)
+        await self._prepare(response)
+        await response.write_eof()
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Sends the head of a stream."""
+        response = web.StreamResponse(status=status)
+        _fill_headers(response, headers)
+        await self._prepare(response)
+
+    async def write(self, data: bytes) -> None:
+        """Sends a piece of a stream."""
+        assert self._response is not None
+        await self._response.write(data)
+
+    async def finish(self) -> None:
+        """Ends a stream as complete."""
+        assert self._response is not None
+        await self._response.write_eof()
+
+    def abort(self) -> None:
+        """Closes the connection so that the stream looks incomplete."""
+        if self._raw.transport is not None:
+            self._raw.transport.abort()
+
+    @property
+    def response(self) -> web.StreamResponse | None:
+        """Returns what was sent, None if nothing was."""
+        return self._response
+
+    async def _prepare(self, response: web.StreamResponse) -> None:
+        if self._closing():
+            response.force_close()
+        self._response = response
+        await response.prepare(self._raw)
+
+
+class Frontend:
+    """Accepts connections of clients; limits follow the configuration."""
+
+    def __init__(self, run: Run) -> None:
+        self._run = run
+        self._limits: configuration.Limits | None = None
+        self._servers: list[web.Server] = []
+        self._listener: asyncio.Server | None = None
+        self._closing = False
+
+    async def start(self, host: str, port: int) -> None:
+        """Listens for clients."""
+        self._servers.append(self._make_server(None))
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: self._servers[-1](), host, port, backlog=1024
+        )
+
+    def apply_limits(self, limits: configuration.Limits) -> None:
+        """Uses other limits for connections from now on."""
+        if limits == self._limits:
+            return
+        self._limits = limits
+        self._servers = [item for item in self._servers if item.connections]
+        self._servers.append(self._make_server(limits))
+
+    def close_connections(self) -> None:
+        """Closes idle connections, and the others after their answer."""
+        self._closing = True
+
+    def close_idle(self) -> None:
+        """Closes the connections that wait for a request."""
+        for server in self._servers:
+            server.pre_shutdown()
+
+    def count_connections(self) -> int:
+        """Returns the number of open connections."""
+        return sum(len(server.connections) for server in self._servers)
+
+    async def stop(self) -> None:
+        """Stops listening and drops what is left."""
+        if self._listener is not None:
+            self._listener.close()
+        for server in self._servers:
+            await server.shutdown(0.1)
+
+    def _make_server(self, limits: configuration.Limits | None) -> web.Server:
+        header_bytes = limits.header_bytes if limits else DEFAULT_HEADER_BYTES
+        idle_s = limits.idle_timeout_s if limits else DEFAULT_IDLE_S
+        return web.Server(
+            self._handle,
+            handler_cancellation=True,
+            auto_decompress=False,
+            access_log=None,
+            keepalive_timeout=idle_s,
+            lingering_time=LINGER_S,
+            max_line_size=header_bytes,
+            max_field_size=header_bytes,
+            max_headers=HEADERS_MAX,
+        )
+
+    async def _handle(self, raw: web.BaseRequest) -> web.StreamResponse:
+        client = HttpClient(raw, lambda: self._closing)
+        try:
+            await self._run(raw, client)
+        except (ConnectionError, OSError):
+            # The client is gone; what it asked for was given up with it.
+            client.abort()
+        except Exception as error:  # noqa: BLE001
+            logs.event(_log, "internal_error", logging.ERROR, error=repr(error))
+            _log.debug("traceback", exc_info=True)
+            if client.response is None:
+                await client.answer(502, [], b"internal\n")
+            else:
+                client.abort()
+        return client.response or web.Response(status=502)
+
+
+def _fill_headers(
+    response: web.StreamResponse, headers: list[tuple[str, str]]
+) -> None:
+    response.headers.clear()
+    for name, value in headers:
+        response.headers.add(name, value)
--- /dev/null
+++ b/agatedock/serving/sender.py
@@ -0,0 +1,142 @@
+"""Sends requests to replicas over connections that are kept or used once."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+
+import aiohttp
+from aiohttp import client_proto
+import multidict
+import yarl
+
+from agatedock.decisions import retries
+
+# Time to establish a connection; a replica answers within milliseconds, and a
+# lost first packet is repeated after a second.
+CONNECT_TIMEOUT_S = 0.6
+# A kept connection is not used after this idle time: replicas close idle
+# connections, and what is sent on a closed one has an unknown outcome.
+IDLE_MAX_S = 2.0
+HEAD_MAX_BYTES = 32 * 1024
+
+
+class SendError(Exception):
+    """A send that brought no answer.
+
+    Attributes:
+      outcome: What may be concluded about the request.
+    """
+
+    def __init__(self, outcome: retries.Outcome, cause: str):
+        self.outcome = outcome
+        super().__init__(f"{outcome}: {cause}")
+
+
+class _Handler(client_proto.ResponseHandler):
+    """Connection that takes a reset for an incomplete answer.
+
+    The library ends a body without a length at any end of the connection.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(str(exc)))
+        super().connection_lost(exc)
+
+
+class Sender:
+    """Connections to all replicas."""
+
+    def __init__(self) -> None:
+        self._kept = _make_session(keepalive_timeout=IDLE_MAX_S)
+        self._single = _make_session(force_close=True)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._kept.close()
+        await self._single.close()
+
+    async def send(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: multidict.CIMultiDict[str],
+        body: bytes,
+        *,
+        fresh: bool,
+        head_timeout_s: float | None,
+    ) -> aiohttp.ClientResponse:
+        """Sends one request and returns the head of its answer.
+
+        Args:
+          address: `IP:PORT` of the replica.
+          method: HTTP method.
+          target: Path and query, sent exactly so.
+          headers: All headers but those of the connection.
+          body: Whole body.
+          fresh: Use a new connection, so that nothing is sent on a stale one.
+          head_timeout_s: How long to wait for the head; None without limit.
+
+        Raises:
+          SendError: No head of an answer arrived.
+        """
+        session = self._single if fresh else self._kept
+        url = yarl.URL(f"http://{address}{target}", encoded=True)
+        try:
+            async with asyncio.timeout(head_timeout_s):
+                return await session.request(
+                    method,
+                    url,
+                    headers=headers,
+                    data=body or None,
+                    allow_redirects=False,
+                )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise SendError(retries.Outcome.NOT_SENT, str(error)) from error
+        except TimeoutError as error:
+            raise SendError(retries.Outcome.SILENT, "no answer") from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise SendError(retries.Outcome.BROKEN, repr(error)) from error
+
+
+def _make_session(**options: Any) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=0, **options)
+    loop = asyncio.get_running_loop()
+    # The library offers no public way to give it a connection class.
+    connector._factory = lambda: _Handler(loop)  # type: ignore[assignment]  # noqa: SLF001
+    session = aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+        max_line_size=HEAD_MAX_BYTES,
+        max_field_size=HEAD_MAX_BYTES,
+        skip_auto_headers=(
+            "Accept",
+            "Accept-Encoding",
+            "Content-Type",
+            "User-Agent",
+        ),
+    )
+    # No public switch either: idempotent methods would be sent twice, outside
+    # of the budget of repeats.
+    session._retry_connection = False  # noqa: SLF001
+    return session
+
+
+@contextlib.contextmanager
+def closing(reply: aiohttp.ClientResponse):
+    """Closes the connection of an answer that was not read to its end."""
+    try:
+        yield reply
+    finally:
+        reply.close()
--- /dev/null
+++ b/agatedock/serving/state.py
@@ -0,0 +1,107 @@
+"""What all exchanges of a router share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+
+from agatedock import hashing
+from agatedock.decisions import admission
+from agatedock.decisions import placement
+from agatedock.decisions import retries
+from agatedock.domain import configuration
+from agatedock.domain import replicas
+from agatedock.domain import requests
+from agatedock.serving import dialect
+from agatedock.serving import sender
+from agatedock.views import conditions
+from agatedock.views import configurations
+from agatedock.views import directory
+from agatedock.views import loads
+from agatedock.views import prefixes
+
+_HASH_RANGE = 2**64
+
+
+@dataclasses.dataclass
+class Terms:
+    """Limits that hold for the whole fleet.
+
+    Attributes:
+      proof_max_s: Requests with a key are served only while the configuration
+        was proved current within this time.
+    """
+
+    proof_max_s: float
+
+
+@dataclasses.dataclass
+class Shared:
+    """Views, decisions with memory, and connections of one router."""
+
+    now: Callable[[], float]
+    zone: str
+    terms: Terms
+    dialect: dialect.Dialect
+    sender: sender.Sender
+    budget: retries.Budget
+    configurations: configurations.ConfigurationView = dataclasses.field(
+        default_factory=configurations.ConfigurationView
+    )
+    directory: directory.Directory = dataclasses.field(
+        default_factory=directory.Directory
+    )
+    loads: loads.Loads = dataclasses.field(default_factory=loads.Loads)
+    conditions: conditions.Conditions = dataclasses.field(
+        default_factory=conditions.Conditions
+    )
+    prefixes: prefixes.Prefixes = dataclasses.field(
+        default_factory=prefixes.Prefixes
+    )
+    durations: admission.Durations = dataclasses.field(
+        default_factory=admission.Durations
+    )
+    # Readings that peers have not been told of yet, by part.
+    unshared: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.view = placement.View(
+            loads=self.loads,
+            conditions=self.conditions,
+            prefixes=self.prefixes,
+            zone=self.zone,
+        )
+
+    def count_routers(self) -> int:
+        """Returns how many routers share the fleet's budgets."""
+        return max(retries.ROUTERS_ASSUMED, 1 + self.loads.count_peers())
+
+    def choose_service(
+        self, route: configuration.Route, request: requests.Request
+    ) -> str:
+        """Returns one of a route's services by weight.
+
+        Requests that share a prompt part get the same one.
+        """
+        if len(route.backends) == 1:
+            return route.backends[0].service
+        total = sum(backend.weight for backend in route.backends)
+        key = request.affinity_key or request.request_id
+        point = total * hashing.score(key, route.name) / _HASH_RANGE
+        for backend in route.backends:
+            point -= backend.weight
+            if point < 0:
+                return backend.service
+        return route.backends[-1].service
+
+    def take_reading(
+        self,
+        request: requests.Request,
+        replica: replicas.Replica,
+        now: float,
+    ) -> None:
+        """Notes that a replica reads the shared part of a prompt."""
+        key = request.affinity_key
+        if key:
+            self.prefixes.take(key, replica.replica_id, now)
+            self.unshared[key] = replica.replica_id
--- /dev/null
+++ b/agatedock/views/__init__.py
@@ -0,0 +1,1 @@
+"""What one router believes about its surroundings, with ages."""
--- /dev/null
+++ b/agatedock/views/conditions.py
@@ -0,0 +1,78 @@
+"""How replicas have answered lately, judged by requests alone."""
+
+from __future__ import annotations
+
+import dataclasses
+
+# Shortest and longest time a replica that cannot be reached is left alone.
+SUSPEND_MIN_S = 0.5
+SUSPEND_MAX_S = 4.0
+# Weight of the latest answer in the failure rate.
+RATE_WEIGHT = 0.15
+# The failure rate halves in this time without any answer.
+RATE_HALF_LIFE_S = 3.0
+# A replica that has answered others within this time is not silent.
+HEARD_RECENTLY_S = 0.4
+
+
+@dataclasses.dataclass(slots=True)
+class Condition:
+    """What is known of one replica; times in seconds."""
+
+    failure_rate: float = 0.0
+    rated_at: float = 0.0
+    heard_at: float = float("-inf")
+    suspended_until: float = float("-inf")
+    suspend_s: float = SUSPEND_MIN_S
+
+
+class Conditions:
+    """The condition of every replica that was asked lately."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, Condition] = {}
+
+    def take_heard(self, replica_id: str, now: float) -> None:
+        """Learns that some bytes came from a replica."""
+        self._get(replica_id).heard_at = now
+
+    def take_result(self, replica_id: str, ok: bool, now: float) -> None:
+        """Learns a complete answer, good or bad."""
+        condition = self._get(replica_id)
+        condition.heard_at = now
+        if ok:
+            condition.suspend_s = SUSPEND_MIN_S
+        aged = self._age_rate(condition, now)
+        sample = 0.0 if ok else 1.0
+        condition.failure_rate = aged + RATE_WEIGHT * (sample - aged)
+        condition.rated_at = now
+
+    def take_unreachable(self, replica_id: str, now: float) -> None:
+        """Learns that a replica refused, reset or ignored a request."""
+        condition = self._get(replica_id)
+        if now - condition.heard_at < HEARD_RECENTLY_S:
+            self.take_result(replica_id, False, now)
+            return
+        condition.suspended_until = now + condition.suspend_s
+        condition.suspend_s = min(SUSPEND_MAX_S, 2 * condition.suspend_s)
+
+    def is_suspended(self, replica_id: str, now: float) -> bool:
+        """Tells whether a replica is left alone for now."""
+        condition = self._by_id.get(replica_id)
+        return condition is not None and now < condition.suspended_until
+
+    def failure_rate(self, replica_id: str, now: float) -> float:
+        """Returns the share of failed answers lately, 0 to 1."""
+        condition = self._by_id.get(replica_id)
+        return self._age_rate(condition, now) if condition else 0.0
+
+    def forget(self, replica_id: str) -> None:
+        """Drops what is known of a replica that is gone."""
+        self._by_id.pop(replica_id, None)
+
+    def _get(self, replica_id: str) -> Condition:
+        return self._by_id.setdefault(replica_id, Condition())
+
+    def _age_rate(self, condition: Condition, now: float) -> float:
+        age_s = max(0.0, now - condition.rated_at)
+        return condition.failure_rate * 0.5 ** (age_s / RATE_HALF_LIFE_S)
--- /dev/null
+++ b/agatedock/views/configurations.py
@@ -0,0 +1,57 @@
+"""The configuration in force, and how recently it was proved current."""
+
+from __future__ import annotations
+
+from agatedock.domain import configuration
+
+_NEVER = float("-inf")
+
+
+class ConfigurationView:
+    """The newest configuration that this router has seen.
+
+    Attributes:
+      current: None until the first one was read.
+      revision: The store's revision of `current`.
+      proved_at: Latest time at which `current` is known to have been newest:
+        when the read that showed it was sent, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.current: configuration.Configuration | None = None
+        self.revision = 0
+        self.proved_at = _NEVER
+
+    def take(
+        self,
+        document: configuration.Configuration,
+        revision: int,
+        read_at: float,
+    ) -> bool:
+        """Learns a configuration that was newest at `read_at`.
+
+        Returns:
+          Whether it replaced another one.
+        """
+        if revision < self.revision:
+            return False
+        changed = revision > self.revision
+        self.current = document
+        self.revision = revision
+        self.proved_at = max(self.proved_at, read_at)
+        return changed
+
+    def prove(self, revision: int, read_at: float) -> bool:
+        """Learns that a revision was newest at `read_at`.
+
+        Returns:
+          Whether it is the one in force here.
+        """
+        if revision != self.revision:
+            return False
+        self.proved_at = max(self.proved_at, read_at)
+        return True
+
+    def age_s(self, now: float) -> float:
+        """Returns how long ago the configuration was proved current."""
+        return now - self.proved_at
--- /dev/null
+++ b/agatedock/views/directory.py
@@ -0,0 +1,66 @@
+"""Which replicas there are, from full listings that may be late or missing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from agatedock.domain import replicas
+
+# A pause between listings longer than this means that the list was out of
+# reach, and entries may have lapsed although their replicas live.
+OUTAGE_S = 2.5
+# Lapsed entries are back this long after the list is.
+LAPSE_GRACE_S = 2.0
+
+
+class Directory:
+    """The replicas of all services."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, replicas.Replica] = {}
+        self._usable: dict[str, list[replicas.Replica]] = {}
+        self._listed_at: float | None = None
+        self._grace_until = float("-inf")
+
+    def take_listing(
+        self, listing: Iterable[replicas.Replica], now: float
+    ) -> list[replicas.Replica]:
+        """Learns the full list; returns the replicas that went.
+
+        A message older than one already seen is ignored, whatever it says.
+        """
+        if self._listed_at is not None and now - self._listed_at > OUTAGE_S:
+            self._grace_until = now + LAPSE_GRACE_S
+        self._listed_at = now
+        listed = {replica.replica_id: replica for replica in listing}
+        gone = []
+        for replica_id, known in list(self._known.items()):
+            if replica_id in listed or now < self._grace_until:
+                continue
+            gone.append(known)
+            del self._known[replica_id]
+        for replica_id, replica in listed.items():
+            known_one = self._known.get(replica_id)
+            if known_one is None or not replica.is_older_than(known_one):
+                self._known[replica_id] = replica
+        self._rebuild()
+        return gone
+
+    def list_usable(self, service: str) -> list[replicas.Replica]:
+        """Returns the replicas of a service that take new requests."""
+        return self._usable.get(service, [])
+
+    def get(self, replica_id: str) -> replicas.Replica | None:
+        """Returns a known replica, also one that is draining."""
+        return self._known.get(replica_id)
+
+    def count(self) -> int:
+        """Returns the number of known replicas."""
+        return len(self._known)
+
+    def _rebuild(self) -> None:
+        usable: dict[str, list[replicas.Replica]] = {}
+        for replica in self._known.values():
+            if replica.state is replicas.ReplicaState.READY:
+                usable.setdefault(replica.service, []).append(replica)
+        self._usable = usable
--- /dev/null
+++ b/agatedock/views/loads.py
@@ -0,0 +1,62 @@
+"""Requests running at each replica: this router's and its peers'."""
+
+from __future__ import annotations
+
+import collections
+
+# A peer that was silent for longer counts as gone, with all its requests.
+PEER_SILENCE_S = 3.0
+
+
+class Loads:
+    """Running requests by replica id."""
+
+    def __init__(self) -> None:
+        self._own: collections.Counter[str] = collections.Counter()
+        self._others: collections.Counter[str] = collections.Counter()
+        self._peers: dict[str, tuple[float, dict[str, int]]] = {}
+
+    def begin(self, replica_id: str) -> None:
+        """Counts a request that is about to be sent."""
+        self._own[replica_id] += 1
+
+    def end(self, replica_id: str) -> None:
+        """Counts a request as over."""
+        self._own[replica_id] -= 1
+        if self._own[replica_id] <= 0:
+            del self._own[replica_id]
+
+    def own(self) -> dict[str, int]:
+        """Returns this router's counts, for its peers."""
+        return dict(self._own)
+
+    def take_peer(self, name: str, counts: dict[str, int], now: float) -> None:
+        """Learns a peer's counts, which replace its earlier ones."""
+        self._forget(name)
+        self._peers[name] = (now, counts)
+        self._others.update(counts)
+
+    def drop_silent(self, now: float) -> list[str]:
+        """Forgets peers that have been silent; returns their names."""
+        silent = [
+            name
+            for name, (heard_at, _) in self._peers.items()
+            if now - heard_at > PEER_SILENCE_S
+        ]
+        for name in silent:
+            self._forget(name)
+        return silent
+
+    def count_peers(self) -> int:
+        """Returns the number of peers heard lately."""
+        return len(self._peers)
+
+    def running(self, replica_id: str) -> int:
+        """Returns the requests running at a replica, from all routers."""
+        return self._own[replica_id] + self._others[replica_id]
+
+    def _forget(self, name: str) -> None:
+        known = self._peers.pop(name, None)
+        if known is not None:
+            self._others.subtract(known[1])
+            self._others += collections.Counter()
