--- a/agatedock/serving/exchange.py
+++ b/agatedock/serving/exchange.py
@@ -110,6 +110,15 @@
             )
         return self._entry
 
+    async def refuse_stopping(self) -> journal.Entry:
+        """Refuses the request because the process is about to end."""
+        await self._decline(
+            declines.Declined(
+                declines.Reason.STOPPING, retry_after_s=RETRY_SOON_S
+            )
+        )
+        return self._entry
+
     def _authorize(
         self,
     ) -> tuple[configuration.Route, configuration.Account | None]:
