Close idle connections when stopping instead of leaving them deaf

Ruled out: a slow refusal. Change: connections that wait for another request are closed; those that have not sent any stay open until theirs is answered.

--- a/agatedock/serving/declines.py
+++ b/agatedock/serving/declines.py
@@ -1,4 +1,4 @@
-"""Answers of the router's own: why a request was not served, and when to ask."""
+"""Answers of the router itself: why a request was not served, when to retry."""
 
 from __future__ import annotations
 
--- a/agatedock/serving/frontend.py
+++ b/agatedock/serving/frontend.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
+from typing import Any
 
 from aiohttp import web
 
@@ -107,6 +108,22 @@
         await response.prepare(self._raw)
 
 
+class _Server(web.Server):
+    """Server that drops lost connections from the idle ones."""
+
+    def __init__(
+        self, handler: Any, idle: set[web.RequestHandler], **options: Any
+    ) -> None:
+        super().__init__(handler, **options)
+        self._idle = idle
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        self._idle.discard(handler)
+        super().connection_lost(handler, exc)
+
+
 class Frontend:
     """Accepts connections of clients; limits follow the configuration."""
 
@@ -116,6 +133,8 @@
         self._servers: list[web.Server] = []
         self._listener: asyncio.Server | None = None
         self._closing = False
+        # Connections that have been answered and wait for another request.
+        self._idle: set[web.RequestHandler] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Listens for clients."""
@@ -138,9 +157,14 @@
         self._closing = True
 
     def close_idle(self) -> None:
-        """Closes the connections that wait for a request."""
-        for server in self._servers:
-            server.pre_shutdown()
+        """Closes the connections that wait for another request.
+
+        One that has not sent any yet is left open: a request may be on its
+        way, and its client does not know yet that this router stops.
+        """
+        for connection in list(self._idle):
+            connection.force_close()
+        self._idle.clear()
 
     def count_connections(self) -> int:
         """Returns the number of open connections."""
@@ -156,8 +180,9 @@
     def _make_server(self, limits: configuration.Limits | None) -> web.Server:
         header_bytes = limits.header_bytes if limits else DEFAULT_HEADER_BYTES
         idle_s = limits.idle_timeout_s if limits else DEFAULT_IDLE_S
-        return web.Server(
+        return _Server(
             self._handle,
+            self._idle,
             handler_cancellation=True,
             auto_decompress=False,
             access_log=None,
@@ -170,6 +195,7 @@
 
     async def _handle(self, raw: web.BaseRequest) -> web.StreamResponse:
         client = HttpClient(raw, lambda: self._closing)
+        self._idle.discard(raw.protocol)
         try:
             await self._run(raw, client)
         except (ConnectionError, OSError):
@@ -182,6 +208,8 @@
                 await client.answer(502, [], b"internal\n")
             else:
                 client.abort()
+        if raw.transport is not None:
+            self._idle.add(raw.protocol)
         return client.response or web.Response(status=502)
 
 
--- /dev/null
+++ b/standins/replica.py
@@ -0,0 +1,181 @@
+"""Stand-in of a replica on the users' platform, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+
+from aiohttp import web
+
+ID = "X-Agatedock-Attempt-Id"
+SEAL = "X-Agatedock-Response-Seal"
+
+
+@dataclasses.dataclass
+class Faults:
+    """What goes wrong with the requests that arrive.
+
+    Attributes:
+      shed: Every request is rejected as not run.
+      error: Every request runs and fails with this status; 0 for none.
+      reset: Every request runs and its connection is reset.
+      hang: Every request runs and is never answered.
+      cut_after: Streams break off in the middle of the event after this many.
+      other_id: Answers bear the id of another request.
+      unsealed: Answers lack the proof that a replica made them.
+      unframed: Bodies have no length and end with a reset halfway.
+    """
+
+    shed: bool = False
+    error: int = 0
+    reset: bool = False
+    hang: bool = False
+    cut_after: int | None = None
+    other_id: bool = False
+    unsealed: bool = False
+    unframed: bool = False
+
+
+@dataclasses.dataclass
+class Arrival:
+    """One request as the replica saw it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    ran: bool = False
+    finished: bool = False
+    cancelled: bool = False
+
+
+class Replica:
+    """Answers `run by NAME`, or a stream of numbered events."""
+
+    def __init__(self, name: str, service: str, zone: str = "a") -> None:
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.slots = 8
+        self.faults = Faults()
+        self.arrivals: list[Arrival] = []
+        self.work_s = 0.0
+        self.events = 5
+        self.gap_s = 0.01
+        self._runner: web.ServerRunner | None = None
+        self.address = ""
+        self._sequence = 0
+        self.born = 1_700_000_000_000
+
+    async def start(self) -> None:
+        """Listens on a free port of the loopback address."""
+        server = web.Server(self._answer, handler_cancellation=True)
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0, shutdown_timeout=0.1)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stops listening and closes all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    @property
+    def runs(self) -> list[Arrival]:
+        """Returns the requests that ran here."""
+        return [item for item in self.arrivals if item.ran]
+
+    def describe(self, state: str = "ready") -> bytes:
+        """Returns the entry in the store."""
+        self._sequence += 1
+        return json.dumps(
+            {
+                "Service": self.service,
+                "Address": self.address,
+                "Zone": self.zone,
+                "Version": "v1",
+                "Slots": self.slots,
+                "State": state,
+                "ColdRemainingMs": 0,
+                "Sequence": self._sequence,
+                "born": self.born,
+            }
+        ).encode()
+
+    async def _answer(self, raw: web.BaseRequest) -> web.StreamResponse:
+        arrival = Arrival(
+            raw.method, raw.raw_path, dict(raw.headers), await raw.read()
+        )
+        self.arrivals.append(arrival)
+        expected = raw.headers.get("X-Agatedock-Expect-Replica")
+        if expected not in (None, self.name):
+            return web.Response(
+                status=421, headers={"X-Agatedock-Replica-Id": self.name}
+            )
+        if self.faults.shed:
+            return web.Response(
+                status=503, headers={"X-Agatedock-Not-Executed": "1"}
+            )
+        arrival.ran = True
+        try:
+            return await self._run(raw, arrival)
+        except asyncio.CancelledError:
+            arrival.cancelled = True
+            raise
+
+    async def _run(
+        self, raw: web.BaseRequest, arrival: Arrival
+    ) -> web.StreamResponse:
+        await asyncio.sleep(self.work_s)
+        faults = self.faults
+        if faults.hang:
+            await asyncio.sleep(60)
+        if faults.reset:
+            raw.transport.abort()
+            return web.Response()
+        headers = {ID: "other" if faults.other_id else raw.headers.get(ID, "")}
+        if not faults.unsealed:
+            headers[SEAL] = f"seal-{self.name}"
+        if faults.error:
+            return web.Response(
+                status=faults.error, headers=headers, text="failed"
+            )
+        if faults.unframed:
+            return await self._answer_unframed(raw, headers)
+        if "X-Agatedock-Prompt-Prefix" in raw.headers:
+            return await self._stream(raw, arrival, headers)
+        arrival.finished = True
+        return web.Response(headers=headers, text=f"run by {self.name}")
+
+    async def _stream(
+        self, raw: web.BaseRequest, arrival: Arrival, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(raw)
+        first = int(raw.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, self.events + 1):
+            if self.faults.cut_after == number - first:
+                await response.write(b"id: 99\nda")
+                raw.transport.abort()
+                return response
+            await response.write(f"id: {number}\ndata: x\n\n".encode())
+            await asyncio.sleep(self.gap_s)
+        await response.write_eof()
+        arrival.finished = True
+        return response
+
+    async def _answer_unframed(
+        self, raw: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        lines = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
+        raw.transport.write(
+            f"HTTP/1.1 200 OK\r\n{lines}Connection: close\r\n\r\nhalf".encode()
+        )
+        await asyncio.sleep(0.05)
+        raw.transport.abort()
+        return web.Response()
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,130 @@
+"""Stand-in of the users' metadata store, with switches for its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import dataclasses
+import json
+
+from aiohttp import web
+
+# Longer than any call waits.
+SILENCE_S = 30.0
+
+
+@dataclasses.dataclass
+class Faults:
+    """What goes wrong.
+
+    Attributes:
+      status: Every call gets this status; 0 for none.
+      silent: No call gets an answer.
+      delay_s: Every answer is late.
+    """
+
+    status: int = 0
+    silent: bool = False
+    delay_s: float = 0.0
+
+
+class Store:
+    """Keys with revisions and leases, over HTTP."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.items: dict[str, tuple[bytes, int, int]] = {}
+        self.leases: set[int] = set()
+        self.revision = 100
+        self.calls: list[str] = []
+        self._runner: web.ServerRunner | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listens on a free port of the loopback address."""
+        self._runner = web.ServerRunner(web.Server(self._answer))
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0, shutdown_timeout=0.1)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Writes a key as the operator or a replica would."""
+        self.revision += 1
+        self.items[key] = (value, self.revision, lease)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Removes a key."""
+        self.revision += 1
+        self.items.pop(key, None)
+
+    async def _answer(self, raw: web.BaseRequest) -> web.Response:
+        self.calls.append(f"{raw.method} {raw.path}")
+        await asyncio.sleep(self.faults.delay_s)
+        if self.faults.silent:
+            await asyncio.sleep(SILENCE_S)
+        if self.faults.status:
+            return web.Response(status=self.faults.status)
+        if raw.path == "/kv-range":
+            return self._list(raw.query["Prefix"])
+        if raw.path == "/kv-lease":
+            return self._open_lease()
+        if raw.path.startswith("/kv-keep/"):
+            known = int(raw.path.rpartition("/")[2]) in self.leases
+            return web.Response(status=200 if known else 404)
+        if raw.path.startswith("/kv-lease-end/"):
+            return self._end_lease(int(raw.path.rpartition("/")[2]))
+        if raw.path == "/kv-txn":
+            return self._write(json.loads(await raw.read()))
+        return web.Response(status=400)
+
+    def _list(self, prefix: str) -> web.Response:
+        rows = [
+            {
+                "Key": key,
+                "Value": base64.b64encode(value).decode(),
+                "Revision": revision,
+                "Created": revision,
+                "LeaseId": lease,
+            }
+            for key, (value, revision, lease) in sorted(self.items.items())
+            if key.startswith(prefix)
+        ]
+        return _reply(
+            {"Entries": rows, "Truncated": False, "At": self.revision}
+        )
+
+    def _open_lease(self) -> web.Response:
+        self.revision += 1
+        self.leases.add(self.revision)
+        return _reply({"LeaseId": self.revision, "TtlMs": 1000})
+
+    def _end_lease(self, lease: int) -> web.Response:
+        if lease not in self.leases:
+            return web.Response(status=404)
+        self.leases.discard(lease)
+        for key, item in list(self.items.items()):
+            if item[2] == lease:
+                self.remove(key)
+        return web.Response(status=200)
+
+    def _write(self, change: dict) -> web.Response:
+        for row in change["Write"]:
+            if row["LeaseId"] and row["LeaseId"] not in self.leases:
+                return web.Response(status=404)
+            value = base64.b64decode(row["Value"])
+            self.put(row["Key"], value, row["LeaseId"])
+        return _reply({"Revision": self.revision})
+
+
+def _reply(document: dict) -> web.Response:
+    return web.Response(
+        text=json.dumps(document), content_type="application/json"
+    )
--- /dev/null
+++ b/test/platform_helper.py
@@ -0,0 +1,190 @@
+"""A router on a stand-in of the users' platform, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import socket
+import unittest
+
+import aiohttp
+
+from agatedock_platform import compose
+from agatedock_platform import settings
+from standins import replica
+from standins import store
+
+KEY = "key-1"
+CHAT = "/chat/1"
+DRAFT = "/draft/1"
+ORDER = "/order/1"
+LOOKUP = "/lookup/1"
+HOST = "shop.example"
+
+
+def find_port() -> int:
+    """Returns a free port of the loopback address."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def make_route(prefix: str, kind: str, service: str, **over) -> dict:
+    """Returns a route as the operator writes it."""
+    return {
+        "Name": prefix.strip("/"),
+        "Host": HOST,
+        "Prefix": prefix,
+        "RouteType": kind,
+        "TimeoutMs": 3000,
+        "TargetLatencyMs": 400,
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 2,
+        "Public": False,
+        **over,
+    }
+
+
+def make_configuration(**over) -> dict:
+    """Returns a configuration as the operator writes it."""
+    return {
+        "Version": 7,
+        "Routes": [
+            make_route("/chat/", "streaming", "llm", Resumable=True),
+            make_route("/draft/", "streaming", "llm", MaxAttempts=1),
+            make_route("/order/", "unsafe", "shop"),
+            make_route("/lookup/", "safe", "shop"),
+        ],
+        "Services": [
+            {"Name": "llm", "MaxConns": 100},
+            {"Name": "shop", "MaxConns": 100},
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 4096,
+            "MaxBodyBytes": 10_000,
+            "HeaderTimeoutMs": 1000,
+            "IdleTimeoutMs": 5000,
+        },
+        "Tenants": [{"Name": "office", "ApiKeys": [KEY], "Priority": 3}],
+        **over,
+    }
+
+
+def make_settings(store_address: str, **bounds) -> settings.Settings:
+    """Returns settings with free ports."""
+    return settings.Settings(
+        node_name="edge-1",
+        ip="127.0.0.1",
+        zone="a",
+        internal_ports=(find_port(), 0),
+        listen=settings.Listen(
+            frontend=f"127.0.0.1:{find_port()}",
+            ready=f"127.0.0.1:{find_port()}",
+        ),
+        bounds=settings.Bounds(
+            grace_s=bounds.get("grace_s", 5.0),
+            revoke_ms=bounds.get("revoke_ms", 5000),
+            retry_budget_ratio=0.2,
+            retry_budget_slack=bounds.get("slack", 100),
+            budget_window_s=10,
+        ),
+        platform=settings.Store(address=store_address),
+    )
+
+
+class RouterCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a store, two replicas of each service and one router."""
+
+    bounds: dict = {}
+
+    async def asyncSetUp(self) -> None:
+        self.store = store.Store()
+        await self.store.start()
+        self.replicas = {}
+        for name, service in (
+            ("llm-1", "llm"),
+            ("llm-2", "llm"),
+            ("shop-1", "shop"),
+            ("shop-2", "shop"),
+        ):
+            self.replicas[name] = replica.Replica(name, service)
+            await self.replicas[name].start()
+            self.register(name)
+        self.configure()
+        config = make_settings(self.store.address, **self.bounds)
+        self.config = config
+        self.router = compose.Router(pathlib.Path("/nowhere"), config)
+        self.stop = asyncio.Event()
+        self.task = asyncio.create_task(self.router.run(self.stop))
+        self.url = f"http://{config.listen.frontend}"
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        await self.wait_ready()
+
+    async def asyncTearDown(self) -> None:
+        await self.session.close()
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.router.close()
+        for item in self.replicas.values():
+            await item.stop()
+        await self.store.stop()
+
+    def register(self, name: str, state: str = "ready") -> None:
+        """Writes a replica's entry."""
+        entry = self.replicas[name].describe(state)
+        self.store.put(f"servers/{name}", entry)
+
+    def configure(self, **over) -> None:
+        """Writes the operator's configuration."""
+        document = make_configuration(**over)
+        self.store.put("op/config", json.dumps(document).encode())
+
+    async def is_ready(self) -> bool:
+        """Asks the router as the platform does."""
+        url = f"http://{self.config.listen.ready}/readyz"
+        try:
+            async with self.session.get(url) as reply:
+                return reply.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_ready(self, ready: bool = True) -> None:
+        """Waits until the router says that it is ready, or not."""
+        async with asyncio.timeout(10):
+            while await self.is_ready() is not ready:
+                await asyncio.sleep(0.02)
+
+    def make_headers(self, request_id: str, **over) -> dict[str, str]:
+        """Returns the headers of a client's request."""
+        return {
+            "Host": HOST,
+            "X-Agatedock-Attempt-Id": request_id,
+            "X-Agatedock-Deadline-Ms": "3000",
+            "Authorization": f"Bearer {KEY}",
+            **over,
+        }
+
+    async def call(
+        self, path: str, request_id: str = "r1", body: bytes = b"", **over
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Sends one request; returns status, headers and body."""
+        headers = self.make_headers(request_id, **over)
+        if path in (CHAT, DRAFT):
+            headers["X-Agatedock-Prompt-Prefix"] = "aa:10,bb:100,cc:5"
+        method = "GET" if path == LOOKUP else "POST"
+        async with self.session.request(
+            method, self.url + path, headers=headers, data=body or None
+        ) as reply:
+            return reply.status, dict(reply.headers), await reply.read()
+
+    def list_runs(self, *names: str) -> list[replica.Arrival]:
+        """Returns what ran at the named replicas, or at all."""
+        return [
+            run
+            for name in names or self.replicas
+            for run in self.replicas[name].runs
+        ]
