--- a/agatedock/decisions/placement.py
+++ b/agatedock/decisions/placement.py
@@ -26,8 +26,8 @@
 # A replica whose failure rate is above this, and above the lowest one by the
 # same amount, is chosen only if no other is left.
 FAILURE_RATE_MAX = 0.3
-# A cached part is taken for present at its last reader for this long.
-CACHED_S = 30.0
+# A part is taken for cached at a replica for this long after it was read.
+CACHED_S = 60.0
 
 
 class Loads(Protocol):
@@ -54,6 +54,7 @@
     loads: Loads
     conditions: Conditions
     prefixes: prefixes.Prefixes
+    find_replica: Callable[[int], replicas.Replica | None]
     zone: str
 
 
@@ -151,20 +152,35 @@
     reason = "prefix" if chosen_id == ranked[0] else "bound"
     if chosen_id is None:
         chosen_id = min(ranked, key=view.loads.running)
-    reading = view.prefixes.find(key)
-    fetch_from = None
-    if reading is not None and now - reading.at < CACHED_S:
-        fetch_from = by_id.get(reading.replica_id)
     chosen = by_id[chosen_id]
     return Placement(
         replica=chosen,
-        fetch_from=fetch_from if fetch_from is not chosen else None,
+        fetch_from=_find_source(request, chosen, view, now),
         reason=reason,
         running=view.loads.running(chosen_id),
         mean=mean,
     )
 
 
+def _find_source(
+    request: requests.Request,
+    chosen: replicas.Replica,
+    view: View,
+    now: float,
+) -> replicas.Replica | None:
+    """Returns a replica that holds more of a prompt than the chosen one."""
+    chosen_number = hashing.shorten(chosen.replica_id)
+    for part in reversed(request.shared_parts):
+        readers = view.prefixes.list_readers(part.part_id, now - CACHED_S)
+        if chosen_number in readers:
+            return None
+        for number in readers:
+            source = view.find_replica(number)
+            if source is not None and source.service == chosen.service:
+                return source
+    return None
+
+
 @policies.register("least")
 def place_by_load(
     request: requests.Request,
--- a/agatedock/domain/requests.py
+++ b/agatedock/domain/requests.py
@@ -44,10 +44,13 @@
         """Returns the target without its query."""
         return self.target.partition("?")[0]
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Returns the parts that other requests may have in common."""
+        return self.prompt[:-1] or self.prompt
+
     @property
     def affinity_key(self) -> str:
         """Returns what requests that profit from the same cache share."""
-        if not self.prompt:
-            return ""
-        shared = self.prompt[-2] if len(self.prompt) > 1 else self.prompt[0]
-        return shared.part_id
+        shared = self.shared_parts
+        return shared[-1].part_id if shared else ""
--- a/agatedock/hashing.py
+++ b/agatedock/hashing.py
@@ -22,3 +22,11 @@
     return sorted(
         names, key=lambda name: (score(key, name), name), reverse=True
     )
+
+
+def shorten(name: str) -> int:
+    """Returns a 32-bit number for a name, for messages between routers.
+
+    Two names with one number make loads and cached parts less exact, no more.
+    """
+    return xxhash.xxh32_intdigest(name.encode())
--- /dev/null
+++ b/agatedock/peers/messages.py
@@ -0,0 +1,47 @@
+"""Datagrams between routers."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class News(msgspec.Struct, array_like=True, frozen=True):
+    """What one router tells each other one.
+
+    Attributes:
+      name: The sender.
+      number: Grows with each message; an older one says nothing new.
+      running: The sender's running requests by short number of the replica.
+      readings: Pairs of short numbers, part and replica that reads it, that
+        the sender has not told before.
+    """
+
+    name: str
+    number: int
+    running: dict[int, int]
+    readings: list[tuple[int, int]]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(News)
+
+
+class DecodeError(Exception):
+    """A datagram that no router of this version sent."""
+
+
+def encode(news: News) -> bytes:
+    """Returns the datagram."""
+    return _encoder.encode(news)
+
+
+def decode(data: bytes) -> News:
+    """Returns the message.
+
+    Raises:
+      DecodeError: It cannot be read.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise DecodeError(str(error)) from error
--- a/agatedock/serving/state.py
+++ b/agatedock/serving/state.py
@@ -35,6 +35,10 @@
     proof_max_s: float
 
 
+def _tell_nobody(part: int, replica: int) -> None:
+    """Ignores a reading, for a router without peers."""
+
+
 @dataclasses.dataclass
 class Shared:
     """Views, decisions with memory, and connections of one router."""
@@ -61,14 +65,15 @@
     durations: admission.Durations = dataclasses.field(
         default_factory=admission.Durations
     )
-    # Readings that peers have not been told of yet, by part.
-    unshared: dict[str, str] = dataclasses.field(default_factory=dict)
+    # Gets each new pair of a prompt part and the replica that reads it.
+    tell_reading: Callable[[int, int], None] = _tell_nobody
 
     def __post_init__(self) -> None:
         self.view = placement.View(
             loads=self.loads,
             conditions=self.conditions,
             prefixes=self.prefixes,
+            find_replica=self.directory.find,
             zone=self.zone,
         )
 
@@ -100,8 +105,14 @@
         replica: replicas.Replica,
         now: float,
     ) -> None:
-        """Notes that a replica reads the shared part of a prompt."""
-        key = request.affinity_key
-        if key:
-            self.prefixes.take(key, replica.replica_id, now)
-            self.unshared[key] = replica.replica_id
+        """Notes that a replica reads the shared parts of a prompt."""
+        reader = hashing.shorten(replica.replica_id)
+        for part in request.shared_parts:
+            number = hashing.shorten(part.part_id)
+            if self.prefixes.take(number, reader, now):
+                self.tell_reading(number, reader)
+
+    def forget(self, replica_id: str) -> None:
+        """Drops what is known of a replica that ended or started anew."""
+        self.conditions.forget(replica_id)
+        self.prefixes.forget(replica_id)
--- a/agatedock/views/directory.py
+++ b/agatedock/views/directory.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from agatedock import hashing
 from agatedock.domain import replicas
 
 # A pause between listings longer than this means that the list was out of
@@ -18,6 +19,7 @@
 
     def __init__(self) -> None:
         self._known: dict[str, replicas.Replica] = {}
+        self._by_number: dict[int, replicas.Replica] = {}
         self._usable: dict[str, list[replicas.Replica]] = {}
         self._listed_at: float | None = None
         self._grace_until = float("-inf")
@@ -25,9 +27,10 @@
     def take_listing(
         self, listing: Iterable[replicas.Replica], now: float
     ) -> list[replicas.Replica]:
-        """Learns the full list; returns the replicas that went.
+        """Learns the full list; returns the replicas that ended.
 
-        A message older than one already seen is ignored, whatever it says.
+        A replica that started anew under its id counts as ended, too. A
+        message older than one already seen is ignored, whatever it says.
         """
         if self._listed_at is not None and now - self._listed_at > OUTAGE_S:
             self._grace_until = now + LAPSE_GRACE_S
@@ -43,6 +46,10 @@
             known_one = self._known.get(replica_id)
             if known_one is None or not replica.is_older_than(known_one):
                 self._known[replica_id] = replica
+                if known_one and known_one.started_at_ms != (
+                    replica.started_at_ms
+                ):
+                    gone.append(known_one)
         self._rebuild()
         return gone
 
@@ -54,6 +61,10 @@
         """Returns a known replica, also one that is draining."""
         return self._known.get(replica_id)
 
+    def find(self, number: int) -> replicas.Replica | None:
+        """Returns a known replica by the short number of its id."""
+        return self._by_number.get(number)
+
     def count(self) -> int:
         """Returns the number of known replicas."""
         return len(self._known)
@@ -64,3 +75,7 @@
             if replica.state is replicas.ReplicaState.READY:
                 usable.setdefault(replica.service, []).append(replica)
         self._usable = usable
+        self._by_number = {
+            hashing.shorten(replica_id): replica
+            for replica_id, replica in self._known.items()
+        }
--- a/agatedock/views/loads.py
+++ b/agatedock/views/loads.py
@@ -4,33 +4,44 @@
 
 import collections
 
+from agatedock import hashing
+
 # A peer that was silent for longer counts as gone, with all its requests.
 PEER_SILENCE_S = 3.0
 
 
 class Loads:
-    """Running requests by replica id."""
+    """Running requests by replica.
+
+    Attributes:
+      changes: Grows with each change of this router's own counts.
+    """
 
     def __init__(self) -> None:
-        self._own: collections.Counter[str] = collections.Counter()
-        self._others: collections.Counter[str] = collections.Counter()
-        self._peers: dict[str, tuple[float, dict[str, int]]] = {}
+        # All by the short number of the replica's id.
+        self._own: collections.Counter[int] = collections.Counter()
+        self._others: collections.Counter[int] = collections.Counter()
+        self._peers: dict[str, tuple[float, dict[int, int]]] = {}
+        self.changes = 0
 
     def begin(self, replica_id: str) -> None:
         """Counts a request that is about to be sent."""
-        self._own[replica_id] += 1
+        self._own[hashing.shorten(replica_id)] += 1
+        self.changes += 1
 
     def end(self, replica_id: str) -> None:
         """Counts a request as over."""
-        self._own[replica_id] -= 1
-        if self._own[replica_id] <= 0:
-            del self._own[replica_id]
+        number = hashing.shorten(replica_id)
+        self._own[number] -= 1
+        if self._own[number] <= 0:
+            del self._own[number]
+        self.changes += 1
 
-    def own(self) -> dict[str, int]:
+    def own(self) -> dict[int, int]:
         """Returns this router's counts, for its peers."""
         return dict(self._own)
 
-    def take_peer(self, name: str, counts: dict[str, int], now: float) -> None:
+    def take_peer(self, name: str, counts: dict[int, int], now: float) -> None:
         """Learns a peer's counts, which replace its earlier ones."""
         self._forget(name)
         self._peers[name] = (now, counts)
@@ -53,10 +64,12 @@
 
     def running(self, replica_id: str) -> int:
         """Returns the requests running at a replica, from all routers."""
-        return self._own[replica_id] + self._others[replica_id]
+        number = hashing.shorten(replica_id)
+        return self._own[number] + self._others[number]
 
     def _forget(self, name: str) -> None:
         known = self._peers.pop(name, None)
         if known is not None:
             self._others.subtract(known[1])
+            # Drops what is at zero.
             self._others += collections.Counter()
--- a/agatedock/views/prefixes.py
+++ b/agatedock/views/prefixes.py
@@ -1,36 +1,54 @@
-"""Which replica read a shared prompt part last, from all routers."""
+"""Which replicas have read which shared prompt parts, from all routers."""
 
 from __future__ import annotations
 
 import collections
-import dataclasses
 
-PARTS_MAX = 20_000
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reading:
-    """A replica took a request with a part at a time (seconds)."""
+from agatedock import hashing
 
-    replica_id: str
-    at: float
+PARTS_MAX = 20_000
+# Latest readers kept for each part.
+READERS_MAX = 6
+# A reading as old as this is worth telling peers again.
+TELL_AGAIN_S = 5.0
 
 
 class Prefixes:
-    """The latest reader of each part; the least recently read ones go."""
+    """Latest readers of each part; the least recently read parts go.
+
+    Parts and replicas are known by their short numbers.
+    """
 
     def __init__(self) -> None:
-        self._readings: collections.OrderedDict[str, Reading] = (
+        self._readers: collections.OrderedDict[int, dict[int, float]] = (
             collections.OrderedDict()
         )
 
-    def take(self, part_id: str, replica_id: str, now: float) -> None:
-        """Learns that a replica reads a part."""
-        self._readings[part_id] = Reading(replica_id, now)
-        self._readings.move_to_end(part_id)
-        if len(self._readings) > PARTS_MAX:
-            self._readings.popitem(last=False)
-
-    def find(self, part_id: str) -> Reading | None:
-        """Returns the latest reading of a part."""
-        return self._readings.get(part_id)
+    def take(self, part: int, replica: int, now: float) -> bool:
+        """Learns that a replica reads a part.
+
+        Returns:
+          Whether this is news.
+        """
+        readers = self._readers.setdefault(part, {})
+        known_at = readers.pop(replica, float("-inf"))
+        readers[replica] = now
+        self._readers.move_to_end(part)
+        if len(readers) > READERS_MAX:
+            del readers[next(iter(readers))]
+        if len(self._readers) > PARTS_MAX:
+            self._readers.popitem(last=False)
+        return now - known_at > TELL_AGAIN_S
+
+    def list_readers(self, part_id: str, since: float) -> list[int]:
+        """Returns the replicas that read a part since a time, latest first."""
+        readers = self._readers.get(hashing.shorten(part_id), {})
+        return [
+            replica for replica, at in reversed(readers.items()) if at >= since
+        ]
+
+    def forget(self, replica_id: str) -> None:
+        """Drops a replica whose cache is empty or gone."""
+        number = hashing.shorten(replica_id)
+        for readers in self._readers.values():
+            readers.pop(number, None)
