Test the request path, the decisions and the news between routers

Seen failing first, and mended: heartbeats of a fleet of 60 broke the bound of 6 KB/s (12.3 KB/s measured by the test), so their period grows with the fleet.

--- a/agatedock/peers/sharing.py
+++ b/agatedock/peers/sharing.py
@@ -20,8 +20,10 @@
 
 # Shortest time between two messages to one peer.
 TICK_S = 0.02
-# Longest time, with nothing to tell.
+# Longest time, with nothing to tell, in a fleet that can afford it.
 HEARTBEAT_S = 0.5
+# A peer that missed this many heartbeats is gone.
+HEARTBEATS_MISSED = 6
 # Bytes a second that one router may send, headers of IP and UDP included.
 BYTES_PER_S = 6000.0
 # Saved up in calm times for a burst of requests.
@@ -56,6 +58,8 @@
         self._addresses: dict[str, Address] = {}
         self._told_changes = -1
         self._told_at = float("-inf")
+        # Bytes that telling all peers took last.
+        self._round_bytes = 0
         self._saved_bytes = BYTES_SAVED_MAX
         self._saved_at = now()
         self.bytes_sent = 0
@@ -77,7 +81,8 @@
         while True:
             await asyncio.sleep(TICK_S)
             now = self._now()
-            for name in self._counts.drop_silent(now):
+            silence_s = HEARTBEATS_MISSED * self._heartbeat_s()
+            for name in self._counts.drop_silent(now, silence_s):
                 self._numbers.pop(name, None)
                 self._addresses.pop(name, None)
                 logs.event(_log, "peer_lost", logging.WARNING, peer=name)
@@ -95,11 +100,15 @@
             self._saved_bytes + BYTES_PER_S * (now - self._saved_at),
         )
         self._saved_at = now
-        if now - self._told_at >= HEARTBEAT_S:
+        if now - self._told_at >= self._heartbeat_s():
             return True
         has_news = self._counts.changes != self._told_changes or self._pending
         return bool(has_news) and self._saved_bytes > 0
 
+    def _heartbeat_s(self) -> float:
+        """Returns the heartbeat's period, longer in a larger fleet."""
+        return max(HEARTBEAT_S, self._round_bytes / BYTES_PER_S)
+
     def tell(self, now: float) -> None:
         """Sends one message to each peer."""
         readings = self._pending[:READINGS_MAX]
@@ -112,12 +121,13 @@
         )
         self._told_at = now
         self._told_changes = self._counts.changes
-        for address in self._find_addresses():
+        addresses = self._find_addresses()
+        for address in addresses:
             if self._transport is not None:
                 self._transport.sendto(data, address)
-            sent = len(data) + PACKET_HEADER_BYTES
-            self._saved_bytes -= sent
-            self.bytes_sent += sent
+        self._round_bytes = len(addresses) * (len(data) + PACKET_HEADER_BYTES)
+        self._saved_bytes -= self._round_bytes
+        self.bytes_sent += self._round_bytes
 
     def _find_addresses(self) -> set[Address]:
         """Returns peers that are listed, and those that were heard lately."""
--- a/agatedock/views/loads.py
+++ b/agatedock/views/loads.py
@@ -6,9 +6,6 @@
 
 from agatedock import hashing
 
-# A peer that was silent for longer counts as gone, with all its requests.
-PEER_SILENCE_S = 3.0
-
 
 class Loads:
     """Running requests by replica.
@@ -47,12 +44,12 @@
         self._peers[name] = (now, counts)
         self._others.update(counts)
 
-    def drop_silent(self, now: float) -> list[str]:
-        """Forgets peers that have been silent; returns their names."""
+    def drop_silent(self, now: float, silence_s: float) -> list[str]:
+        """Forgets peers that were silent for longer; returns their names."""
         silent = [
             name
             for name, (heard_at, _) in self._peers.items()
-            if now - heard_at > PEER_SILENCE_S
+            if now - heard_at > silence_s
         ]
         for name in silent:
             self._forget(name)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 import dataclasses
 import json
+import socket
+import struct
 
 from aiohttp import web
 
@@ -43,7 +46,7 @@
 
     method: str
     target: str
-    headers: dict[str, str]
+    headers: Mapping[str, str]
     body: bytes
     ran: bool = False
     finished: bool = False
@@ -108,7 +111,7 @@
 
     async def _answer(self, raw: web.BaseRequest) -> web.StreamResponse:
         arrival = Arrival(
-            raw.method, raw.raw_path, dict(raw.headers), await raw.read()
+            raw.method, raw.raw_path, raw.headers, await raw.read()
         )
         self.arrivals.append(arrival)
         expected = raw.headers.get("X-Agatedock-Expect-Replica")
@@ -135,7 +138,7 @@
         if faults.hang:
             await asyncio.sleep(60)
         if faults.reset:
-            raw.transport.abort()
+            _reset(raw)
             return web.Response()
         headers = {ID: "other" if faults.other_id else raw.headers.get(ID, "")}
         if not faults.unsealed:
@@ -161,7 +164,7 @@
         for number in range(first, self.events + 1):
             if self.faults.cut_after == number - first:
                 await response.write(b"id: 99\nda")
-                raw.transport.abort()
+                _reset(raw)
                 return response
             await response.write(f"id: {number}\ndata: x\n\n".encode())
             await asyncio.sleep(self.gap_s)
@@ -177,5 +180,14 @@
             f"HTTP/1.1 200 OK\r\n{lines}Connection: close\r\n\r\nhalf".encode()
         )
         await asyncio.sleep(0.05)
-        raw.transport.abort()
+        _reset(raw)
         return web.Response()
+
+
+def _reset(raw: web.BaseRequest) -> None:
+    """Resets the connection, which is more than closing it."""
+    sock = raw.transport.get_extra_info("socket")
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    raw.transport.abort()
--- a/test/platform_helper.py
+++ b/test/platform_helper.py
@@ -9,6 +9,7 @@
 import unittest
 
 import aiohttp
+import yarl
 
 from agatedock_platform import compose
 from agatedock_platform import settings
@@ -177,7 +178,10 @@
             headers["X-Agatedock-Prompt-Prefix"] = "aa:10,bb:100,cc:5"
         method = "GET" if path == LOOKUP else "POST"
         async with self.session.request(
-            method, self.url + path, headers=headers, data=body or None
+            method,
+            yarl.URL(self.url + path, encoded=True),
+            headers=headers,
+            data=body or None,
         ) as reply:
             return reply.status, dict(reply.headers), await reply.read()
 
--- /dev/null
+++ b/test/test_decisions.py
@@ -0,0 +1,318 @@
+"""Properties of the decisions, with the present time as an argument."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from agatedock import hashing
+from agatedock.decisions import admission
+from agatedock.decisions import placement
+from agatedock.decisions import retries
+from agatedock.domain import replicas
+from agatedock.domain import requests
+from agatedock.views import conditions
+from agatedock.views import directory
+from agatedock.views import loads
+from agatedock.views import prefixes
+from test import helper
+
+helper.load_profile()
+
+NOW = 1000.0
+
+
+def make_replica(number: int, **over) -> replicas.Replica:
+    """Returns a replica of service llm."""
+    fields = {
+        "replica_id": f"replica-{number}",
+        "service": "llm",
+        "address": f"10.0.0.{number}:80",
+        "zone": "a",
+        "slots": 8,
+        "state": replicas.ReplicaState.READY,
+        "started_at_ms": 1,
+        "sequence": 1,
+        **over,
+    }
+    return replicas.Replica(**fields)
+
+
+def make_request(number: int, parts: tuple[str, ...]) -> requests.Request:
+    """Returns a request with the given prompt parts."""
+    return requests.Request(
+        request_id=f"request-{number}",
+        method="POST",
+        host="h",
+        target="/",
+        headers=(),
+        key="",
+        patience_s=None,
+        prompt=tuple(requests.PromptPart(part, 100) for part in parts),
+        last_event_id=None,
+        arrived_at=NOW,
+    )
+
+
+class Fleet:
+    """A view of some replicas, and what was placed on them."""
+
+    def __init__(self, count: int) -> None:
+        self.replicas = [make_replica(number) for number in range(count)]
+        self.loads = loads.Loads()
+        self.conditions = conditions.Conditions()
+        self.prefixes = prefixes.Prefixes()
+        self.directory = directory.Directory()
+        self.directory.take_listing(self.replicas, NOW)
+        self.view = placement.View(
+            loads=self.loads,
+            conditions=self.conditions,
+            prefixes=self.prefixes,
+            find_replica=self.directory.find,
+            zone="a",
+        )
+
+    def place(self, request: requests.Request, now: float = NOW):
+        """Places a request and counts it."""
+        place = placement.choose(
+            request, self.replicas, frozenset(), self.view, now
+        )
+        self.loads.begin(place.replica.replica_id)
+        for part in request.shared_parts:
+            self.prefixes.take(
+                hashing.shorten(part.part_id),
+                hashing.shorten(place.replica.replica_id),
+                now,
+            )
+        return place
+
+
+class PlacementTest(unittest.TestCase):
+    """Choice of a replica."""
+
+    @hypothesis.given(
+        count=strategies.integers(1, 9),
+        chats=strategies.lists(strategies.integers(0, 5), max_size=150),
+    )
+    def test_no_replica_holds_more_than_the_bound(self, count, chats):
+        """However skewed the chats: at most 2 x the mean + 3."""
+        fleet = Fleet(count)
+        for number, chat in enumerate(chats):
+            fleet.place(make_request(number, (f"chat-{chat}", "own")))
+            running = [
+                fleet.loads.running(item.replica_id) for item in fleet.replicas
+            ]
+            self.assertLessEqual(max(running), 2 * sum(running) / count + 3)
+
+    def test_routers_agree_without_talk(self):
+        for number in range(20):
+            request = make_request(number, (f"part-{number}", "own"))
+            ids = {Fleet(6).place(request).replica.replica_id for _ in range(3)}
+            self.assertEqual(len(ids), 1)
+
+    def test_same_part_returns_to_its_replica(self):
+        fleet = Fleet(6)
+        first = fleet.place(make_request(1, ("doc", "own-1")))
+        second = fleet.place(make_request(2, ("doc", "own-2")))
+        self.assertIs(first.replica, second.replica)
+        self.assertIsNone(second.fetch_from)
+
+    def test_replica_that_takes_over_fetches_from_the_reader(self):
+        """Scale-out: the new replica reads nothing that another one holds."""
+        fleet = Fleet(5)
+        places = {
+            number: fleet.place(make_request(number, (f"doc-{number}", "own")))
+            for number in range(40)
+        }
+        for place in places.values():
+            fleet.loads.end(place.replica.replica_id)
+        fleet.replicas.append(make_replica(5))
+        fleet.directory.take_listing(fleet.replicas, NOW)
+        moved = 0
+        for number, before in places.items():
+            after = fleet.place(make_request(99, (f"doc-{number}", "own")))
+            fleet.loads.end(after.replica.replica_id)
+            if after.replica is before.replica:
+                continue
+            moved += 1
+            self.assertEqual(after.replica.replica_id, "replica-5")
+            self.assertIs(after.fetch_from, before.replica)
+        self.assertGreater(moved, 0)
+
+    def test_replica_with_a_new_start_holds_nothing(self):
+        fleet = Fleet(1)
+        fleet.place(make_request(1, ("doc", "own")))
+        fleet.prefixes.forget("replica-0")
+        fleet.replicas.append(make_replica(1))
+        place = fleet.place(make_request(2, ("doc", "own")))
+        self.assertIsNone(place.fetch_from)
+
+    def test_silent_replica_is_left_alone_for_a_while(self):
+        fleet = Fleet(3)
+        request = make_request(1, ("doc", "own"))
+        first = fleet.place(request).replica
+        fleet.conditions.take_unreachable(first.replica_id, NOW)
+        self.assertIsNot(fleet.place(request, NOW + 0.1).replica, first)
+        later = NOW + conditions.SUSPEND_MIN_S + 0.1
+        self.assertIs(fleet.place(request, later).replica, first)
+
+    def test_all_suspended_is_better_than_none(self):
+        fleet = Fleet(2)
+        for item in fleet.replicas:
+            fleet.conditions.take_unreachable(item.replica_id, NOW)
+        self.assertIsNotNone(fleet.place(make_request(1, ())))
+
+    def test_grey_replica_gets_less(self):
+        """One that fails half of its answers is chosen only if all do."""
+        fleet = Fleet(3)
+        for number in range(30):
+            fleet.conditions.take_result("replica-0", number % 2 > 0, NOW)
+        chosen = {
+            fleet.place(make_request(number, ())).replica.replica_id
+            for number in range(30)
+        }
+        self.assertNotIn("replica-0", chosen)
+
+
+class AdmissionTest(unittest.TestCase):
+    """Refusals before a request is sent."""
+
+    @hypothesis.given(
+        running=strategies.integers(0, 200),
+        slots=strategies.integers(0, 64),
+        duration_s=strategies.floats(0.001, 10),
+        target_s=strategies.floats(0.05, 3),
+        left_s=strategies.floats(0.0, 20),
+    )
+    def test_verdicts(self, running, slots, duration_s, target_s, left_s):
+        verdict = admission.decide(running, slots, duration_s, target_s, left_s)
+        if slots == 0 or running < slots:
+            self.assertTrue(verdict.admitted)
+        if not verdict.admitted:
+            self.assertGreaterEqual(
+                verdict.retry_after_s, admission.RETRY_MIN_S
+            )
+            self.assertLessEqual(verdict.retry_after_s, admission.RETRY_MAX_S)
+        if verdict.admitted and verdict.wait_s > 0:
+            self.assertLessEqual(verdict.wait_s + duration_s, left_s + 1e-9)
+
+    def test_refused_callers_come_back_to_a_free_slot(self):
+        """A burst of three times the slots on one replica of 1 s requests."""
+        verdict = admission.decide(24, 8, 1.0, 0.5, 10)
+        self.assertFalse(verdict.admitted)
+        free_after_s = (24 - 8 + 1) * 1.0 / 8
+        self.assertGreaterEqual(verdict.retry_after_s + 0.5, free_after_s)
+
+
+class RetriesTest(unittest.TestCase):
+    """Repeats of one fleet."""
+
+    def test_what_may_be_sent_again(self):
+        for outcome in retries.Outcome:
+            self.assertTrue(retries.may_repeat(True, outcome))
+            self.assertEqual(
+                retries.may_repeat(False, outcome),
+                outcome in retries.CERTAINLY_NOT_RUN,
+            )
+
+    @hypothesis.given(
+        routers=strategies.integers(1, 12),
+        steps=strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 11), strategies.booleans()
+            ),
+            max_size=400,
+        ),
+    )
+    def test_fleet_stays_within_the_limit(self, routers, steps):
+        """In any window, whichever router each request enters by."""
+        terms = retries.Terms(ratio=0.2, slack=52, window_s=10)
+        budgets = [retries.Budget(terms) for _ in range(routers)]
+        sent: list[tuple[float, bool]] = []
+        now = NOW
+        for entry, fails in steps:
+            now += 0.05
+            budget = budgets[entry % routers]
+            budget.count_first("s", now)
+            sent.append((now, False))
+            if fails and budget.spend("s", routers, now):
+                sent.append((now, True))
+        recent = [repeat for at, repeat in sent if now - at <= 10]
+        firsts = recent.count(False)
+        self.assertLessEqual(recent.count(True), 0.2 * firsts + 52)
+
+
+class DirectoryTest(unittest.TestCase):
+    """Listings that are late, missing or out of order."""
+
+    def test_older_message_never_wins(self):
+        view = directory.Directory()
+        draining = replicas.ReplicaState.DRAINING
+        view.take_listing([make_replica(1, sequence=5, state=draining)], NOW)
+        view.take_listing([make_replica(1, sequence=4)], NOW + 1)
+        self.assertEqual(view.list_usable("llm"), [])
+        view.take_listing(
+            [make_replica(1, started_at_ms=2, sequence=1)], NOW + 2
+        )
+        self.assertEqual(len(view.list_usable("llm")), 1)
+
+    def test_missing_entry_is_gone_while_the_store_is_well(self):
+        view = directory.Directory()
+        view.take_listing([make_replica(1), make_replica(2)], NOW)
+        gone = view.take_listing([make_replica(1)], NOW + 1)
+        self.assertEqual([item.replica_id for item in gone], ["replica-2"])
+
+    def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while(self):
+        view = directory.Directory()
+        view.take_listing([make_replica(1), make_replica(2)], NOW)
+        view.take_listing([], NOW + 6)
+        self.assertEqual(len(view.list_usable("llm")), 2)
+        view.take_listing([make_replica(1)], NOW + 7)
+        self.assertEqual(len(view.list_usable("llm")), 2)
+        view.take_listing([make_replica(1)], NOW + 8.5)
+        self.assertEqual(len(view.list_usable("llm")), 1)
+
+    def test_new_start_under_the_same_id_is_told(self):
+        view = directory.Directory()
+        view.take_listing([make_replica(1)], NOW)
+        ended = view.take_listing([make_replica(1, started_at_ms=2)], NOW + 1)
+        self.assertEqual(len(ended), 1)
+        self.assertEqual(len(view.list_usable("llm")), 1)
+
+
+class LoadsTest(unittest.TestCase):
+    """Counts of all routers."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["p1", "p2", "p3"]),
+                strategies.dictionaries(
+                    strategies.sampled_from(["a", "b"]),
+                    strategies.integers(0, 9),
+                ),
+            ),
+            max_size=30,
+        )
+    )
+    def test_sum_of_the_latest_messages(self, told):
+        view = loads.Loads()
+        latest: dict[str, dict[str, int]] = {}
+        for peer, counts in told:
+            latest[peer] = counts
+            numbers = {
+                hashing.shorten(name): count for name, count in counts.items()
+            }
+            view.take_peer(peer, numbers, NOW)
+        for name in ("a", "b"):
+            expected = sum(counts.get(name, 0) for counts in latest.values())
+            self.assertEqual(view.running(name), expected)
+
+    def test_silent_peer_counts_no_more(self):
+        view = loads.Loads()
+        view.take_peer("p1", {hashing.shorten("a"): 4}, NOW)
+        self.assertEqual(view.drop_silent(NOW + 1, 3), [])
+        self.assertEqual(view.drop_silent(NOW + 4, 3), ["p1"])
+        self.assertEqual(view.running("a"), 0)
--- /dev/null
+++ b/test/test_exchange.py
@@ -0,0 +1,286 @@
+"""The path of a request on the platform, judged by clients and replicas."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from unittest import mock
+
+import aiohttp
+
+from test import platform_helper
+
+CHAT = platform_helper.CHAT
+DRAFT = platform_helper.DRAFT
+LOOKUP = platform_helper.LOOKUP
+ORDER = platform_helper.ORDER
+WHOLE_STREAM = b"".join(
+    f"id: {number}\ndata: x\n\n".encode() for number in range(1, 6)
+)
+
+
+class HeadersTest(platform_helper.RouterCase):
+    """What replicas and clients get to see."""
+
+    async def test_request_arrives_unchanged(self):
+        target = ORDER + "?a=%2Fb&c=d//e"
+        status, _, _ = await self.call(target, body=b"pay\r\n\r\nGET / x")
+        self.assertEqual(status, 200)
+        (run,) = self.list_runs()
+        self.assertEqual((run.method, run.target), ("POST", target))
+        self.assertEqual(run.body, b"pay\r\n\r\nGET / x")
+        self.assertEqual(run.headers["Host"], platform_helper.HOST)
+        self.assertEqual(run.headers["X-Agatedock-Attempt-Id"], "r1")
+
+    async def test_key_is_replaced_by_the_account(self):
+        await self.call(ORDER, **{"X-Agatedock-Tenant": "forged"})
+        (run,) = self.list_runs()
+        self.assertNotIn("Authorization", run.headers)
+        self.assertEqual(run.headers["X-Agatedock-Tenant"], "office")
+
+    async def test_forged_system_headers_are_dropped(self):
+        forged = {
+            "Kv-From": "1.2.3.4:5/6",
+            "Kv-Fetch": "1.2.3.4:5",
+            "X-Agatedock-Retain": "7",
+            "X-Agatedock-Pin-Ms": "9",
+            "X-Agatedock-Kv-Backup": "1.2.3.4:5",
+            "X-Agatedock-Expect-Version": "2",
+            "X-Agatedock-Not-Executed": "1",
+            "X-Agatedock-Unheard-Of": "1",
+        }
+        await self.call(CHAT, **forged)
+        (run,) = self.list_runs()
+        self.assertEqual(set(forged) & set(run.headers), set())
+
+    async def test_hop_headers_are_dropped(self):
+        await self.call(ORDER, Connection="x-private", **{"X-Private": "1"})
+        (run,) = self.list_runs()
+        self.assertNotIn("X-Private", run.headers)
+
+    async def test_replica_gets_the_time_that_is_left(self):
+        await self.call(ORDER, **{"X-Agatedock-Deadline-Ms": "900"})
+        (run,) = self.list_runs()
+        self.assertLessEqual(int(run.headers["X-Agatedock-Deadline-Ms"]), 900)
+
+    async def test_account_rank_goes_before_the_route_rank(self):
+        await self.call(CHAT)
+        (run,) = self.list_runs()
+        self.assertEqual(run.headers["X-Agatedock-Request-Priority"], "3")
+
+    async def test_answer_bears_the_replicas_receipt(self):
+        _, headers, body = await self.call(ORDER)
+        self.assertTrue(headers["X-Agatedock-Response-Seal"])
+        self.assertTrue(body.startswith(b"run by shop-"))
+
+
+class DeclineTest(platform_helper.RouterCase):
+    """Requests that never reach a replica."""
+
+    bounds = {"revoke_ms": 1600}
+
+    async def test_unknown_key(self):
+        status, _, _ = await self.call(ORDER, Authorization="Bearer no")
+        self.assertEqual(status, 401)
+        self.assertEqual(self.list_runs(), [])
+
+    async def test_unknown_route(self):
+        status, _, _ = await self.call("/nowhere/1")
+        self.assertEqual(status, 404)
+
+    async def test_body_over_the_limit(self):
+        status, _, _ = await self.call(ORDER, body=b"x" * 10_001)
+        self.assertEqual(status, 413)
+        self.assertEqual(self.list_runs(), [])
+
+    async def test_revoked_key_is_refused_soon(self):
+        self.configure(Version=8, Tenants=[{"Name": "o", "ApiKeys": ["k2"]}])
+        await asyncio.sleep(1.1)
+        status, _, _ = await self.call(ORDER)
+        self.assertEqual(status, 401)
+        self.assertEqual(self.list_runs(), [])
+
+    async def test_key_is_not_served_once_the_store_was_silent(self):
+        """A key may have been taken away; the refusal says when to ask."""
+        self.store.faults.silent = True
+        await asyncio.sleep(1.2)
+        status, headers, _ = await self.call(ORDER)
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        self.assertEqual(self.list_runs(), [])
+        self.store.faults.silent = False
+        await asyncio.sleep(1.5)
+        status, _, _ = await self.call(ORDER)
+        self.assertEqual(status, 200)
+
+    async def test_public_route_is_served_without_the_store(self):
+        route = platform_helper.make_route(
+            "/open/", "unsafe", "shop", Public=True
+        )
+        self.configure(Version=8, Routes=[route])
+        await asyncio.sleep(1.1)
+        self.store.faults.status = 503
+        await asyncio.sleep(1.2)
+        status, _, _ = await self.call("/open/1", Authorization="")
+        self.assertEqual(status, 200)
+
+    async def test_unreadable_configuration_changes_nothing(self):
+        self.store.put("op/config", b'{"Version": 9, "Routes": 3}')
+        await asyncio.sleep(0.5)
+        with self.assertLogs("agatedock_platform.follower", "ERROR"):
+            await asyncio.sleep(0.6)
+
+    async def test_unreadable_entries_name_no_replica(self):
+        for value in (b"\xff\xfe", b"{}", b'{"Service": 4}'):
+            self.store.put("servers/garbage", value)
+            await asyncio.sleep(0.95)
+        status, _, _ = await self.call(ORDER)
+        self.assertEqual(status, 200)
+
+    async def test_own_bug_answers_that_one_request(self):
+        place = "agatedock.decisions.placement.choose"
+        with mock.patch(place, side_effect=KeyError("bug")):
+            status, _, _ = await self.call(ORDER)
+        self.assertEqual(status, 502)
+        status, _, _ = await self.call(ORDER)
+        self.assertEqual(status, 200)
+
+
+class AtMostOnceTest(platform_helper.RouterCase):
+    """Requests that are not idempotent."""
+
+    def set_faults(self, service: str, **faults) -> None:
+        """Gives all replicas of a service the same faults."""
+        for item in self.replicas.values():
+            if item.service == service:
+                for name, value in faults.items():
+                    setattr(item.faults, name, value)
+
+    async def test_lost_answer_is_never_sent_again(self):
+        self.set_faults("shop", reset=True)
+        status, headers, _ = await self.call(ORDER)
+        self.assertEqual(status, 502)
+        self.assertNotIn("Retry-After", headers)
+        self.assertEqual(len(self.list_runs()), 1)
+
+    async def test_rejected_request_goes_to_another_replica(self):
+        self.replicas["shop-1"].faults.shed = True
+        for number in range(6):
+            status, _, _ = await self.call(ORDER, f"r{number}")
+            self.assertEqual(status, 200)
+        self.assertEqual(len(self.list_runs("shop-2")), 6)
+
+    async def test_rejected_everywhere_is_refused_as_not_run(self):
+        self.set_faults("shop", shed=True)
+        status, headers, _ = await self.call(ORDER)
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        self.assertEqual(self.list_runs(), [])
+
+    async def test_replica_that_is_gone_is_passed_over(self):
+        await self.replicas["shop-1"].stop()
+        for number in range(6):
+            status, _, _ = await self.call(ORDER, f"r{number}")
+            self.assertEqual(status, 200)
+
+    async def test_address_with_another_replica(self):
+        """The new holder of an address runs nothing meant for the old one."""
+        self.replicas["shop-1"].name = "other"
+        for number in range(4):
+            status, _, _ = await self.call(ORDER, f"r{number}")
+            self.assertEqual(status, 200)
+        self.assertEqual(self.list_runs("shop-1"), [])
+
+    async def test_ambiguous_status_does_not_reach_the_client(self):
+        """A 503 without the statement that it has not run promises nothing."""
+        self.set_faults("shop", error=503)
+        status, _, _ = await self.call(ORDER)
+        self.assertEqual(status, 502)
+
+    async def test_failure_of_the_replica_is_passed_on(self):
+        self.set_faults("shop", error=500)
+        status, headers, body = await self.call(ORDER)
+        self.assertEqual((status, body), (500, b"failed"))
+        self.assertIn("X-Agatedock-Response-Seal", headers)
+
+    async def test_foreign_answers_are_not_passed_on(self):
+        for fault in ("other_id", "unsealed", "unframed"):
+            with self.subTest(fault):
+                self.set_faults("shop", **{fault: True})
+                status, _, _ = await self.call(ORDER, fault)
+                self.assertEqual(status, 502)
+                self.set_faults("shop", **{fault: False})
+
+    async def test_broken_draft_does_not_look_complete(self):
+        self.set_faults("llm", cut_after=2)
+        with self.assertRaises(aiohttp.ClientError):
+            await self.call(DRAFT)
+        self.assertEqual(len(self.list_runs()), 1)
+
+    async def test_timeout_answers_at_once(self):
+        self.set_faults("shop", hang=True)
+        began_at = time.monotonic()
+        status, _, _ = await self.call(
+            ORDER, **{"X-Agatedock-Deadline-Ms": "700"}
+        )
+        self.assertEqual(status, 504)
+        self.assertGreater(time.monotonic() - began_at, 0.65)
+
+
+class RepeatTest(platform_helper.RouterCase):
+    """Requests that may run more than once."""
+
+    async def test_lookup_is_asked_elsewhere_after_a_failure(self):
+        for fault in ({"reset": True}, {"error": 500}, {"unframed": True}):
+            with self.subTest(fault):
+                for name, value in fault.items():
+                    setattr(self.replicas["shop-1"].faults, name, value)
+                for number in range(4):
+                    status, _, _ = await self.call(LOOKUP, f"r{number}")
+                    self.assertEqual(status, 200)
+
+    async def test_lookup_at_a_silent_replica(self):
+        self.replicas["shop-1"].faults.hang = True
+        for number in range(3):
+            status, _, _ = await self.call(LOOKUP, f"r{number}")
+            self.assertEqual(status, 200)
+
+    async def test_stream_goes_on_at_another_replica(self):
+        """Every event once, in order, under the first replica's receipt."""
+        for item in self.replicas.values():
+            item.faults.cut_after = 2
+            item.gap_s = 0.05
+        task = asyncio.create_task(self.call(CHAT))
+        await asyncio.sleep(0.03)
+        first = self.list_runs()[0].headers["X-Agatedock-Expect-Replica"]
+        for name, item in self.replicas.items():
+            if name != first:
+                item.faults.cut_after = None
+        status, headers, body = await task
+        self.assertEqual((status, body), (200, WHOLE_STREAM))
+        self.assertEqual(headers["X-Agatedock-Response-Seal"], f"seal-{first}")
+        last = self.list_runs()[-1]
+        self.assertIn(
+            "2", [run.headers.get("Last-Event-Id") for run in self.list_runs()]
+        )
+        self.assertNotEqual(last.headers["X-Agatedock-Expect-Replica"], first)
+
+    async def test_client_that_leaves_ends_the_work(self):
+        for item in self.replicas.values():
+            item.work_s = 5
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(self.call(LOOKUP), 0.3)
+        await asyncio.sleep(0.3)
+        (run,) = self.list_runs()
+        self.assertTrue(run.cancelled)
+        self.assertEqual(self.router.shared.loads.own(), {})
+
+    async def test_repeats_stay_within_the_budget(self):
+        for item in self.replicas.values():
+            item.faults.error = 500
+        for number in range(60):
+            await self.call(LOOKUP, f"r{number}")
+        repeats = len(self.list_runs()) - 60
+        # 0.2 x 60 + 100 / 8 routers.
+        self.assertLessEqual(repeats, 24)
+        self.assertGreater(repeats, 0)
