Bound the log and serve metrics

Each request writes one line with what decided it; lines go to standard output without blocking, within 60 good and 60 failed ones a second; what is left out is counted and told.

--- a/agatedock/logs.py
+++ b/agatedock/logs.py
@@ -3,10 +3,20 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 
 import logfmter
 
+# Lines a second, beyond which lines are left out and counted. Failures have
+# their own share, so that a flood of good requests does not hide them.
+INFO_LINES_PER_S = 60.0
+FAILURE_LINES_PER_S = 60.0
+# Seconds of unused lines that may be written in a burst.
+BURST_S = 3.0
+# How often lines that were left out are told.
+TELL_LOST_S = 5.0
+
 
 def configure(level: str, name: str) -> None:
     """Sends logs to standard error as key=value lines.
@@ -15,7 +25,29 @@
       level: Lowest level to write.
       name: Name of this process, on every line.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    _install(logging.StreamHandler(sys.stderr), level, name)
+
+
+def configure_bounded(level: str, name: str) -> None:
+    """Sends a bounded number of lines to standard output, never blocking.
+
+    Args:
+      level: Lowest level to write.
+      name: Name of this process, on every line.
+    """
+    _install(BoundedHandler(sys.stdout.fileno()), level, name)
+
+
+def count_lost() -> int:
+    """Returns how many lines were left out since the start."""
+    return sum(
+        handler.lost_total
+        for handler in logging.getLogger().handlers
+        if isinstance(handler, BoundedHandler)
+    )
+
+
+def _install(handler: logging.Handler, level: str, name: str) -> None:
     handler.setFormatter(
         logfmter.Logfmter(
             keys=["at", "level", "router"],
@@ -44,3 +76,93 @@
     """Writes one event; keys of `fields` become keys of the line."""
     if logger.isEnabledFor(level):
         logger.log(level, {"event": name, **fields})
+
+
+class _Allowance:
+    """Lines that may be written now; refilled with time."""
+
+    def __init__(self, lines_per_s: float) -> None:
+        self._lines_per_s = lines_per_s
+        self._most = lines_per_s * BURST_S
+        self._left = self._most
+        self._filled_at: float | None = None
+
+    def take(self, now: float) -> bool:
+        """Tells whether one more line may be written at a time in seconds."""
+        if self._filled_at is not None:
+            passed_s = max(0.0, now - self._filled_at)
+            self._left = min(
+                self._most, self._left + passed_s * self._lines_per_s
+            )
+        self._filled_at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines to a file descriptor unless it or the budget is full.
+
+    Lines that were left out are counted, and told in a line of their own.
+
+    Attributes:
+      lost_total: Lines left out since the start.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._info = _Allowance(INFO_LINES_PER_S)
+        self._failures = _Allowance(FAILURE_LINES_PER_S)
+        self._told_at = 0.0
+        # The end of a line that the reader had no room for.
+        self._rest = b""
+        self._lost = 0
+        self.lost_total = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one line, or counts it as lost."""
+        failure = record.levelno > logging.INFO
+        allowance = self._failures if failure else self._info
+        if not allowance.take(record.created):
+            self._count_lost()
+            return
+        if self._lost and record.created - self._told_at > TELL_LOST_S:
+            self._told_at = record.created
+            self._write(self._format_lost(record))
+            self._lost = 0
+        if not self._write(self.format(record)):
+            self._count_lost()
+
+    def _count_lost(self) -> None:
+        self._lost += 1
+        self.lost_total += 1
+
+    def _format_lost(self, record: logging.LogRecord) -> str:
+        note = logging.makeLogRecord({**record.__dict__, "exc_info": None})
+        note.msg = {"event": "lines_lost", "count": self._lost}
+        note.args = None
+        return self.format(note)
+
+    def _write(self, line: str) -> bool:
+        """Writes one line; returns whether it was or will be written."""
+        if self._rest and not self._flush_rest():
+            return False
+        data = line.encode("utf-8", "replace") + b"\n"
+        try:
+            written = os.write(self._descriptor, data)
+        except OSError:
+            # No room, or no reader any more; the line is counted as lost.
+            return False
+        self._rest = data[written:]
+        return True
+
+    def _flush_rest(self) -> bool:
+        try:
+            written = os.write(self._descriptor, self._rest)
+        except OSError:
+            return False
+        self._rest = self._rest[written:]
+        return not self._rest
--- a/agatedock/metrics.py
+++ b/agatedock/metrics.py
@@ -6,6 +6,8 @@
 import aioprometheus
 
 _EMPTY: dict[str, str] = {}
+# Upper bounds of the histograms of times, in seconds.
+_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0)
 
 
 class Metrics:
@@ -21,6 +23,18 @@
             "Milliseconds from acceptance to the first token, by rank.",
             registry=self._registry,
         )
+        self.answer_s = aioprometheus.Histogram(
+            "agatedock_answer_seconds",
+            "Seconds from a request to the end of its answer, by service.",
+            registry=self._registry,
+            buckets=_BUCKETS_S,
+        )
+        self.first_s = aioprometheus.Histogram(
+            "agatedock_first_event_seconds",
+            "Seconds from a request to the first event of its stream.",
+            registry=self._registry,
+            buckets=_BUCKETS_S,
+        )
         self.gauges: dict[str, aioprometheus.Gauge] = {}
 
     def _counter(self, name: str, text: str) -> aioprometheus.Counter:
--- a/agatedock/serving/exchange.py
+++ b/agatedock/serving/exchange.py
@@ -73,7 +73,11 @@
 
 
 class Exchange:
-    """One request of a client, from its head to its final answer."""
+    """One request of a client, from its head to its final answer.
+
+    Attributes:
+      entry: What the log will say of it.
+    """
 
     def __init__(
         self, shared: state.Shared, request: requests.Request, client: Client
@@ -81,7 +85,7 @@
         self._shared = shared
         self._request = request
         self._client = client
-        self._entry = journal.Entry(request.request_id)
+        self.entry = journal.Entry(request.request_id)
         self._tried: set[str] = set()
         # Sends that a replica may have taken up; connections that failed do
         # not count.
@@ -90,11 +94,11 @@
         self._streaming = False
         self._last_event_id = request.last_event_id
 
-    async def run(self) -> journal.Entry:
-        """Answers the request; returns what the log says of it."""
+    async def run(self) -> None:
+        """Answers the request."""
         try:
             route, account = self._authorize()
-            self._entry.route = route.name
+            self.entry.route = route.name
             left_s = self._left_s(route)
             async with asyncio.timeout(max(0.0, left_s)):
                 await self._serve(route, account)
@@ -108,16 +112,14 @@
                     retry_after_s=RETRY_SOON_S,
                 )
             )
-        return self._entry
 
-    async def refuse_stopping(self) -> journal.Entry:
+    async def refuse_stopping(self) -> None:
         """Refuses the request because the process is about to end."""
         await self._decline(
             declines.Declined(
                 declines.Reason.STOPPING, retry_after_s=RETRY_SOON_S
             )
         )
-        return self._entry
 
     def _authorize(
         self,
@@ -129,8 +131,8 @@
             raise declines.Declined(
                 declines.Reason.NO_CONFIGURATION, retry_after_s=1.0
             )
-        self._entry.revision = view.revision
-        self._entry.proof_age_s = view.age_s(now)
+        self.entry.revision = view.revision
+        self.entry.proof_age_s = view.age_s(now)
         route = document.find_route(self._request.host, self._request.path)
         if route is None:
             self._require_proof(now)
@@ -141,7 +143,7 @@
         account = document.accounts.get(self._request.key)
         if account is None:
             raise declines.Declined(declines.Reason.UNKNOWN_KEY)
-        self._entry.account = account.name
+        self.entry.account = account.name
         return route, account
 
     def _require_proof(self, now: float) -> None:
@@ -179,7 +181,7 @@
             failure = await self._send(route, account, place, body)
             if failure is None:
                 return
-            self._entry.failures.append(
+            self.entry.failures.append(
                 f"{place.replica.replica_id}:{failure.outcome}"
             )
             if not retries.may_repeat(route.is_idempotent, failure.outcome):
@@ -198,7 +200,7 @@
         """
         now = self._shared.now()
         service = self._shared.choose_service(route, self._request)
-        self._entry.service = service
+        self.entry.service = service
         place = placement.choose(
             self._request,
             self._shared.directory.list_usable(service),
@@ -238,12 +240,12 @@
         if self._sends >= route.replicas_max:
             return False
         return self._shared.budget.spend(
-            self._entry.service, self._shared.count_routers(), now
+            self.entry.service, self._shared.count_routers(), now
         )
 
     async def _give_up(self, failure: _Failure) -> None:
         if self._streaming:
-            self._entry.outcome = "broken_off"
+            self.entry.outcome = "broken_off"
             self._client.abort()
             return
         if failure.reply is not None:
@@ -269,7 +271,7 @@
         replica = place.replica
         shared = self._shared
         self._tried.add(replica.replica_id)
-        self._entry.take_place(place)
+        self.entry.take_place(place)
         now = shared.now()
         headers = shared.dialect.write_headers(
             dialect.Sending(
@@ -381,8 +383,8 @@
         conditions.take_result(replica_id, good, self._shared.now())
         headers = self._shared.dialect.list_reply_headers(reply.headers)
         if good:
-            self._entry.outcome = "answered"
-            self._entry.status = reply.status
+            self.entry.outcome = "answered"
+            self.entry.status = reply.status
             await self._client.answer(reply.status, headers, body)
             return None
         if kind is dialect.ReplyKind.AMBIGUOUS or self._streaming:
@@ -398,7 +400,7 @@
         """Passes events on as they arrive; returns None at their end."""
         if not self._streaming:
             self._streaming = True
-            self._entry.status = reply.status
+            self.entry.status = reply.status
             headers = self._shared.dialect.list_reply_headers(reply.headers)
             await self._client.begin(reply.status, headers)
         splitter = events.Splitter()
@@ -417,7 +419,7 @@
                 break
             batch = splitter.feed(chunk)
             if batch.data:
-                self._entry.take_event(self._shared.now())
+                self.entry.take_event(self._shared.now())
                 self._last_event_id = batch.last_id or self._last_event_id
                 await self._client.write(batch.data)
         if not splitter.is_clean:
@@ -426,7 +428,7 @@
         self._shared.conditions.take_result(
             replica_id, True, self._shared.now()
         )
-        self._entry.outcome = "answered"
+        self.entry.outcome = "answered"
         await self._client.finish()
         return None
 
@@ -435,17 +437,17 @@
 
     async def _decline(self, declined: declines.Declined) -> None:
         if self._streaming:
-            self._entry.outcome = f"broken_off:{declined.reason}"
+            self.entry.outcome = f"broken_off:{declined.reason}"
             self._client.abort()
             return
         if isinstance(declined, _PassOn):
             status, headers, body = declined.reply
-            self._entry.outcome = "replica_failed"
-            self._entry.status = status
+            self.entry.outcome = "replica_failed"
+            self.entry.status = status
             await self._client.answer(status, headers, body)
             return
-        self._entry.outcome = str(declined.reason)
-        self._entry.status = declined.status
+        self.entry.outcome = str(declined.reason)
+        self.entry.status = declined.status
         headers = []
         if declined.not_run and declined.retry_after_s is not None:
             headers.append(("Retry-After", f"{declined.retry_after_s:.2f}"))
--- a/agatedock/serving/frontend.py
+++ b/agatedock/serving/frontend.py
@@ -14,7 +14,6 @@
 from agatedock.domain import configuration
 from agatedock.serving import declines
 from agatedock.serving import exchange
-from agatedock.serving import journal
 
 _log = logging.getLogger(__name__)
 
@@ -26,7 +25,7 @@
 # does not reset it.
 LINGER_S = 2.0
 
-Run = Callable[[web.BaseRequest, "HttpClient"], Awaitable[journal.Entry]]
+Run = Callable[[web.BaseRequest, "HttpClient"], Awaitable[None]]
 
 
 class HttpClient(exchange.Client):
--- a/agatedock/serving/journal.py
+++ b/agatedock/serving/journal.py
@@ -31,7 +31,8 @@
     revision: int = 0
     proof_age_s: float = 0.0
     failures: list[str] = dataclasses.field(default_factory=list)
-    outcome: str = ""
+    # Stays so if the client leaves, which ends the work.
+    outcome: str = "client_left"
     status: int = 0
     pieces: int = 0
     first_at: float = 0.0
--- /dev/null
+++ b/test/test_logs.py
@@ -0,0 +1,80 @@
+"""The bounded log: its volume, its reader that has stopped, its order."""
+
+from __future__ import annotations
+
+import logging
+import os
+import time
+import unittest
+
+from agatedock import logs
+
+
+def make_record(created: float, level: int = logging.INFO):
+    """Returns a record of a given time."""
+    record = logging.makeLogRecord({"msg": "x" * 500, "levelno": level})
+    record.created = created
+    return record
+
+
+class BoundedHandlerTest(unittest.TestCase):
+    """Lines written to a pipe."""
+
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.handler = logs.BoundedHandler(self.writer)
+
+    def read_bytes(self) -> bytes:
+        """Returns what the pipe holds."""
+        os.set_blocking(self.reader, False)
+        data = b""
+        while True:
+            try:
+                data += os.read(self.reader, 65536)
+            except BlockingIOError:
+                return data
+
+    def read_lines(self) -> list[bytes]:
+        """Returns the lines that the pipe holds."""
+        return self.read_bytes().splitlines()
+
+    def test_stopped_reader_blocks_nothing(self):
+        began_at = time.monotonic()
+        for second in range(100):
+            for _ in range(30):
+                self.handler.emit(make_record(1000.0 + second))
+        self.assertLess(time.monotonic() - began_at, 5)
+        self.assertGreater(self.handler.lost_total, 0)
+        held = self.read_bytes()
+        # The line that the pipe had no room for is ended first.
+        self.handler.emit(make_record(2000.0))
+        for line in (held + self.read_bytes()).splitlines():
+            self.assertRegex(line, rb"^(x{500}|{.*lines_lost.*})$")
+
+    def test_flood_is_cut_to_the_budget_and_counted(self):
+        written = 0
+        for second in range(10):
+            for step in range(500):
+                self.handler.emit(make_record(1000.0 + second + step / 500))
+                written += len(self.read_lines())
+        allowed = logs.INFO_LINES_PER_S * (10 + logs.BURST_S)
+        # One line in each period tells how many were left out.
+        self.assertLessEqual(written, allowed + 10 / logs.TELL_LOST_S + 1)
+        self.assertGreaterEqual(self.handler.lost_total, 5000 - written)
+
+    def test_failures_are_written_in_a_flood_of_good_requests(self):
+        for _ in range(1000):
+            self.handler.emit(make_record(1000.0))
+        self.read_lines()
+        self.handler.emit(make_record(1000.0, logging.WARNING))
+        self.assertEqual(len(self.read_lines()), 1)
+
+    def test_lost_lines_are_told(self):
+        for _ in range(1000):
+            self.handler.emit(make_record(1000.0))
+        self.read_lines()
+        self.handler.emit(make_record(1010.0))
+        first = self.read_lines()[0].decode()
+        self.assertIn("lines_lost", first)
