Let one router in each failure domain read the store for the others

Change: the reader of a failure domain is chosen by hash among the peers that were heard lately; the others ask it for what changed, with the age of its reading, which dates their proof of the configuration safely. Who gets no answer, or nothing fresh, reads the store at once. Seen failing first: a mirror that was never kept made every follower read the store, too.

--- /dev/null
+++ b/agatedock/decisions/reading.py
@@ -0,0 +1,84 @@
+"""Decides who reads the store and who hears of it from a peer.
+
+Answers the load that many routers put on the store: one in each failure
+domain reads it, chosen by hash without any talk, and the others ask that one.
+A router that cannot reach it, or hears nothing fresh, reads the store itself.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from agatedock import hashing
+
+# Readers in each failure domain.
+READERS = 1
+# Pause between two reads of the store.
+READ_S = 0.8
+# Pause between two questions to a reader.
+ASK_S = 0.45
+# What a peer tells is fresh if the store was asked for it this lately.
+FRESH_S = 1.8
+# Pause after a failed read of the store, twice as long after each further one.
+RETRY_MIN_S = 0.25
+RETRY_MAX_S = 1.0
+
+
+class Source(enum.StrEnum):
+    """Where the next listing comes from."""
+
+    STORE = "store"
+    PEER = "peer"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """What to do next.
+
+    Attributes:
+      peers: Names of the readers to ask, best first; empty for the store.
+    """
+
+    source: Source
+    peers: tuple[str, ...] = ()
+
+
+def choose_readers(zone: str, routers: list[str]) -> list[str]:
+    """Returns the routers of a failure domain that read the store."""
+    return hashing.rank(zone, routers)[:READERS]
+
+
+def decide(name: str, zone: str, alive: list[str]) -> Step:
+    """Returns where to get the next listing from.
+
+    Args:
+      name: This router.
+      zone: Its failure domain.
+      alive: Its peers in that failure domain that were heard lately.
+    """
+    readers = choose_readers(zone, [name, *alive])
+    if name in readers:
+        return Step(Source.STORE)
+    return Step(Source.PEER, tuple(readers))
+
+
+def is_fresh(age_s: float) -> bool:
+    """Tells whether a peer's listing will do.
+
+    Args:
+      age_s: How long ago the store was asked for it.
+    """
+    return age_s <= FRESH_S
+
+
+def pause_s(source: Source, failures: int) -> float:
+    """Returns the pause before the next step.
+
+    Args:
+      source: Where this one went.
+      failures: Reads of the store that failed in a row.
+    """
+    if failures:
+        return min(RETRY_MAX_S, RETRY_MIN_S * 2 ** (failures - 1))
+    return READ_S if source is Source.STORE else ASK_S
--- a/agatedock/peers/messages.py
+++ b/agatedock/peers/messages.py
@@ -10,6 +10,7 @@
 
     Attributes:
       name: The sender.
+      zone: Its failure domain.
       number: Grows with each message; an older one says nothing new.
       running: The sender's running requests by short number of the replica.
       readings: Pairs of short numbers, part and replica that reads it, that
@@ -17,6 +18,7 @@
     """
 
     name: str
+    zone: str
     number: int
     running: dict[int, int]
     readings: list[tuple[int, int]]
--- a/agatedock/peers/sharing.py
+++ b/agatedock/peers/sharing.py
@@ -41,12 +41,14 @@
     def __init__(
         self,
         name: str,
+        zone: str,
         counts: loads.Loads,
         parts: prefixes.Prefixes,
         list_peers: Callable[[], dict[str, str]],
         now: Callable[[], float],
     ) -> None:
         self._name = name
+        self._zone = zone
         self._counts = counts
         self._parts = parts
         self._list_peers = list_peers
@@ -56,6 +58,7 @@
         self._number = int(now() * 1000)
         self._numbers: dict[str, int] = {}
         self._addresses: dict[str, Address] = {}
+        self._zones: dict[str, str] = {}
         self._told_changes = -1
         self._told_at = float("-inf")
         # Bytes that telling all peers took last.
@@ -85,6 +88,7 @@
             for name in self._counts.drop_silent(now, silence_s):
                 self._numbers.pop(name, None)
                 self._addresses.pop(name, None)
+                self._zones.pop(name, None)
                 logs.event(_log, "peer_lost", logging.WARNING, peer=name)
             if self.is_due(now):
                 self.tell(now)
@@ -116,7 +120,11 @@
         self._number += 1
         data = messages.encode(
             messages.News(
-                self._name, self._number, self._counts.own(), readings
+                self._name,
+                self._zone,
+                self._number,
+                self._counts.own(),
+                readings,
             )
         )
         self._told_at = now
@@ -138,6 +146,15 @@
                 addresses.add((host, int(port)))
         return addresses
 
+    def list_alive(self, zone: str) -> list[str]:
+        """Returns the peers in a failure domain that were heard lately."""
+        return [name for name, where in self._zones.items() if where == zone]
+
+    def find_address(self, name: str) -> str | None:
+        """Returns the `HOST:PORT` of a peer that was heard lately."""
+        address = self._addresses.get(name)
+        return f"{address[0]}:{address[1]}" if address else None
+
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Learns from a peer."""
         try:
@@ -161,6 +178,7 @@
         now = self._now()
         self._numbers[news.name] = news.number
         self._addresses[news.name] = (address[0], address[1])
+        self._zones[news.name] = news.zone
         self._counts.take_peer(news.name, news.running, now)
         for part, replica in news.readings:
             self._parts.take(part, replica, now)
--- a/agatedock/views/directory.py
+++ b/agatedock/views/directory.py
@@ -25,16 +25,25 @@
         self._grace_until = float("-inf")
 
     def take_listing(
-        self, listing: Iterable[replicas.Replica], now: float
+        self,
+        listing: Iterable[replicas.Replica],
+        read_at: float,
+        now: float,
     ) -> list[replicas.Replica]:
         """Learns the full list; returns the replicas that ended.
 
         A replica that started anew under its id counts as ended, too. A
         message older than one already seen is ignored, whatever it says.
+
+        Args:
+          listing: All replicas that the store knows.
+          read_at: When the store was asked, in seconds.
+          now: Present time in seconds.
         """
-        if self._listed_at is not None and now - self._listed_at > OUTAGE_S:
+        before = self._listed_at
+        if before is not None and read_at - before > OUTAGE_S:
             self._grace_until = now + LAPSE_GRACE_S
-        self._listed_at = now
+        self._listed_at = read_at
         listed = {replica.replica_id: replica for replica in listing}
         gone = []
         for replica_id, known in list(self._known.items()):
--- a/test/platform_helper.py
+++ b/test/platform_helper.py
@@ -127,9 +127,9 @@
 
     async def asyncTearDown(self) -> None:
         await self.session.close()
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
-        await self.router.close()
+        if not self.task.done():
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
         for item in self.replicas.values():
             await item.stop()
         await self.store.stop()
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -65,7 +65,7 @@
         self.conditions = conditions.Conditions()
         self.prefixes = prefixes.Prefixes()
         self.directory = directory.Directory()
-        self.directory.take_listing(self.replicas, NOW)
+        self.directory.take_listing(self.replicas, NOW, NOW)
         self.view = placement.View(
             loads=self.loads,
             conditions=self.conditions,
@@ -129,7 +129,7 @@
         for place in places.values():
             fleet.loads.end(place.replica.replica_id)
         fleet.replicas.append(make_replica(5))
-        fleet.directory.take_listing(fleet.replicas, NOW)
+        fleet.directory.take_listing(fleet.replicas, NOW, NOW)
         moved = 0
         for number, before in places.items():
             after = fleet.place(make_request(99, (f"doc-{number}", "own")))
@@ -250,34 +250,38 @@
     def test_older_message_never_wins(self):
         view = directory.Directory()
         draining = replicas.ReplicaState.DRAINING
-        view.take_listing([make_replica(1, sequence=5, state=draining)], NOW)
-        view.take_listing([make_replica(1, sequence=4)], NOW + 1)
+        view.take_listing(
+            [make_replica(1, sequence=5, state=draining)], NOW, NOW
+        )
+        view.take_listing([make_replica(1, sequence=4)], NOW + 1, NOW + 1)
         self.assertEqual(view.list_usable("llm"), [])
         view.take_listing(
-            [make_replica(1, started_at_ms=2, sequence=1)], NOW + 2
+            [make_replica(1, started_at_ms=2, sequence=1)], NOW + 2, NOW + 2
         )
         self.assertEqual(len(view.list_usable("llm")), 1)
 
     def test_missing_entry_is_gone_while_the_store_is_well(self):
         view = directory.Directory()
-        view.take_listing([make_replica(1), make_replica(2)], NOW)
-        gone = view.take_listing([make_replica(1)], NOW + 1)
+        view.take_listing([make_replica(1), make_replica(2)], NOW, NOW)
+        gone = view.take_listing([make_replica(1)], NOW + 1, NOW + 1)
         self.assertEqual([item.replica_id for item in gone], ["replica-2"])
 
     def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while(self):
         view = directory.Directory()
-        view.take_listing([make_replica(1), make_replica(2)], NOW)
-        view.take_listing([], NOW + 6)
+        view.take_listing([make_replica(1), make_replica(2)], NOW, NOW)
+        view.take_listing([], NOW + 6, NOW + 6)
         self.assertEqual(len(view.list_usable("llm")), 2)
-        view.take_listing([make_replica(1)], NOW + 7)
+        view.take_listing([make_replica(1)], NOW + 7, NOW + 7)
         self.assertEqual(len(view.list_usable("llm")), 2)
-        view.take_listing([make_replica(1)], NOW + 8.5)
+        view.take_listing([make_replica(1)], NOW + 8.5, NOW + 8.5)
         self.assertEqual(len(view.list_usable("llm")), 1)
 
     def test_new_start_under_the_same_id_is_told(self):
         view = directory.Directory()
-        view.take_listing([make_replica(1)], NOW)
-        ended = view.take_listing([make_replica(1, started_at_ms=2)], NOW + 1)
+        view.take_listing([make_replica(1)], NOW, NOW)
+        ended = view.take_listing(
+            [make_replica(1, started_at_ms=2)], NOW + 1, NOW + 1
+        )
         self.assertEqual(len(ended), 1)
         self.assertEqual(len(view.list_usable("llm")), 1)
 
--- /dev/null
+++ b/test/test_follower.py
@@ -0,0 +1,80 @@
+"""A router that hears of the store from a peer."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+from agatedock_platform import compose
+from test import platform_helper
+
+
+class TwoRoutersTest(platform_helper.RouterCase):
+    """Two routers of one failure domain, of which one reads the store."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        config = platform_helper.make_settings(self.store.address)
+        config = type(config)(
+            **{
+                **{
+                    name: getattr(config, name)
+                    for name in config.__struct_fields__
+                },
+                "node_name": "edge-2",
+            }
+        )
+        self.other = compose.Router(pathlib.Path("/nowhere"), config)
+        self.other_task = asyncio.create_task(self.other.run(asyncio.Event()))
+        async with asyncio.timeout(10):
+            while not (
+                self.router.shared.loads.count_peers()
+                and self.other.shared.loads.count_peers()
+            ):
+                await asyncio.sleep(0.05)
+
+    async def asyncTearDown(self) -> None:
+        await self.stop_router(self.other_task, self.other)
+        await super().asyncTearDown()
+
+    async def stop_router(self, task, router) -> None:
+        """Kills a router."""
+        if task.done():
+            return
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def count_reads(self) -> int:
+        """Returns how many listings the store was asked for."""
+        return self.store.calls.count("GET /kv-range")
+
+    async def test_one_reads_and_both_apply(self):
+        await asyncio.sleep(1.0)
+        before = self.count_reads()
+        self.configure(Version=8)
+        revision = self.store.revision
+        await asyncio.sleep(1.6)
+        for router in (self.router, self.other):
+            view = router.shared.configurations
+            self.assertEqual(view.revision, revision)
+            self.assertLess(view.age_s(router.shared.now()), 1.8)
+        self.assertLessEqual(self.count_reads() - before, 3)
+
+    async def test_proof_is_never_younger_than_the_reading(self):
+        """Two routers with a silent store: both proofs age from then on."""
+        await asyncio.sleep(1.0)
+        self.store.faults.silent = True
+        silent_at = self.router.shared.now()
+        await asyncio.sleep(1.5)
+        for router in (self.router, self.other):
+            view = router.shared.configurations
+            self.assertLessEqual(view.proved_at, silent_at)
+
+    async def test_death_of_the_reader(self):
+        """The other one reads the store itself, within the bound of 2 s."""
+        await self.stop_router(self.task, self.router)
+        self.configure(Version=8)
+        revision = self.store.revision
+        await asyncio.sleep(1.9)
+        view = self.other.shared.configurations
+        self.assertEqual(view.revision, revision)
--- a/test/test_sharing.py
+++ b/test/test_sharing.py
@@ -31,7 +31,12 @@
         self.wire = Wire()
         listed = {f"p{n}": f"10.0.0.{n}:7000" for n in range(peers)}
         self.sharing = sharing.Sharing(
-            name, self.counts, self.parts, lambda: listed, lambda: self.now
+            name,
+            "a",
+            self.counts,
+            self.parts,
+            lambda: listed,
+            lambda: self.now,
         )
         self.sharing._transport = self.wire  # noqa: SLF001
 
@@ -79,7 +84,9 @@
 
     def test_peer_is_told_though_the_store_lost_it(self):
         node = Node("one", 0)
-        node.sharing.take(messages.News("two", 1, {}, []), ("10.0.0.2", 7000))
+        node.sharing.take(
+            messages.News("two", "b", 1, {}, []), ("10.0.0.2", 7000)
+        )
         node.sharing.tell(node.now)
         self.assertEqual(
             [item[1] for item in node.wire.sent], [("10.0.0.2", 7000)]
