--- a/agatedock/serving/exchange.py
+++ b/agatedock/serving/exchange.py
@@ -22,6 +22,9 @@
 
 # Time to come back when only another attempt is lacking.
 RETRY_SOON_S = 0.3
+# How long a request waits for the first configuration of a router that has just
+# started, which mostly comes within 50 ms.
+START_WAIT_S = 0.6
 # First answer later than this multiple of the target: another replica is asked
 # if the request may run twice.
 HEAD_TARGETS = 2.5
@@ -97,6 +100,7 @@
     async def run(self) -> None:
         """Answers the request."""
         try:
+            await self._wait_for_configuration()
             route, account = self._authorize()
             self.entry.route = route.name
             left_s = self._left_s(route)
@@ -113,6 +117,18 @@
                 )
             )
 
+    async def _wait_for_configuration(self) -> None:
+        """Waits a moment in a router that has just started."""
+        configured = self._shared.configured
+        if configured.is_set():
+            return
+        try:
+            async with asyncio.timeout(START_WAIT_S):
+                await configured.wait()
+        except TimeoutError:
+            # It is refused below, with a time to come back.
+            return
+
     async def refuse_stopping(self) -> None:
         """Refuses the request because the process is about to end."""
         await self._decline(
--- a/agatedock/serving/state.py
+++ b/agatedock/serving/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 
@@ -65,6 +66,8 @@
     durations: admission.Durations = dataclasses.field(
         default_factory=admission.Durations
     )
+    # Set once the first configuration is known.
+    configured: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     # Gets each new pair of a prompt part and the replica that reads it.
     tell_reading: Callable[[int, int], None] = _tell_nobody
 
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -78,3 +78,32 @@
         await asyncio.sleep(1.9)
         view = self.other.shared.configurations
         self.assertEqual(view.revision, revision)
+
+
+class StartTest(platform_helper.RouterCase):
+    """A router whose first read of the store is lost."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.stop_first()
+
+    async def stop_first(self) -> None:
+        """Ends the router that the base class has started."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def test_request_waits_for_the_first_configuration(self):
+        """It is served once the store answers, not refused."""
+        self.store.faults.silent = True
+        config = platform_helper.make_settings(self.store.address)
+        router = compose.Router(pathlib.Path("/nowhere"), config)
+        self.url = f"http://{config.listen.frontend}"
+        task = asyncio.create_task(router.run(asyncio.Event()))
+        await asyncio.sleep(0.1)
+        request = asyncio.create_task(self.call(platform_helper.ORDER))
+        await asyncio.sleep(0.05)
+        self.store.faults.silent = False
+        status, _, _ = await request
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(status, 200)
