--- /dev/null
+++ b/agatedock/evidence.py
@@ -0,0 +1,138 @@
+"""Finds what collected log files say of one request."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+import datetime
+import pathlib
+import re
+
+from agatedock import errors
+
+# Events of the same replica or router this close to the request are shown.
+NEAR_S = 3.0
+# Events that change what a router believes, and so may explain a decision.
+BELIEFS = frozenset(
+    {
+        "configuration_applied",
+        "configuration_unreadable",
+        "internal_error",
+        "peer_lost",
+        "reader_lost",
+        "registration_lost",
+        "reloaded",
+        "replica_gone",
+        "replica_seen",
+        "started",
+        "stopping",
+        "stopped",
+        "store_lost",
+        "store_regained",
+        "lines_lost",
+    }
+)
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One line of a log.
+
+    Attributes:
+      at: When it was written, by the wall clock of its VM.
+      fields: All keys and values, the ones above included.
+    """
+
+    at: datetime.datetime
+    router: str
+    event: str
+    fields: dict[str, str]
+
+
+def parse(text: str) -> Line | None:
+    """Returns a line of a log, None if it is not one of ours."""
+    fields = {
+        key: value[1:-1] if value.startswith('"') else value
+        for key, value in _PAIR.findall(text)
+    }
+    try:
+        at = datetime.datetime.fromisoformat(fields["at"])
+        return Line(at, fields["router"], fields["event"], fields)
+    except (KeyError, ValueError):
+        return None
+
+
+def read(paths: Iterable[pathlib.Path]) -> list[Line]:
+    """Returns the lines of some files in order of time.
+
+    Raises:
+      errors.UserError: A file cannot be read.
+    """
+    lines = []
+    for path in paths:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as file:
+                parsed = [parse(text) for text in file]
+        except OSError as error:
+            raise errors.UserError(f"{path}: {error.strerror}") from None
+        lines += [line for line in parsed if line is not None]
+    return sorted(lines, key=lambda line: line.at)
+
+
+def explain(lines: list[Line], request_id: str) -> list[Line]:
+    """Returns a request's lines, and what its router learned around them."""
+    own = [line for line in lines if line.fields.get("id") == request_id]
+    near = datetime.timedelta(seconds=NEAR_S)
+    found = []
+    for line in lines:
+        if line in own or any(_may_explain(line, mine, near) for mine in own):
+            found.append(line)
+    return found
+
+
+def _may_explain(line: Line, own: Line, near: datetime.timedelta) -> bool:
+    if line.event not in BELIEFS or line.router != own.router:
+        return False
+    took_ms = float(own.fields.get("took_ms") or 0)
+    began_at = own.at - datetime.timedelta(milliseconds=took_ms)
+    if not began_at - near <= line.at <= own.at + near:
+        return False
+    replica = line.fields.get("replica")
+    involved = own.fields.get("replica", "") + own.fields.get("failures", "")
+    return replica is None or replica in involved
+
+
+def diagnose(line: Line) -> str:
+    """Returns in one sentence why a request ended as its line says."""
+    fields = line.fields
+    return _CAUSES.get(fields.get("outcome", ""), _UNKNOWN).format_map(
+        {key: fields.get(key, "?") for key in _NAMED}
+    )
+
+
+_NAMED = ("replica", "failures", "proof_age_ms", "revision", "took_ms")
+_UNKNOWN = "No cause is known for this outcome."
+_CAUSES = {
+    "answered": "Answered by {replica} in {took_ms} ms.",
+    "client_left": "The client left after {took_ms} ms; {replica} was told.",
+    "stale_configuration": (
+        "The key could not be checked: the configuration (revision "
+        "{revision}) was last proved current {proof_age_ms} ms before; look "
+        "for store_lost and reader_lost."
+    ),
+    "no_configuration": "The router had just started; look for store_lost.",
+    "unknown_key": "No account has the key in revision {revision}.",
+    "no_route": "No route fits in revision {revision}.",
+    "no_replica": "No replica was left after {failures}.",
+    "replicas_full": "Every replica tried rejected it: {failures}.",
+    "overloaded": "Its turn would have come too late for its target.",
+    "replica_failed": "The replica answered with a failure: {failures}.",
+    "outcome_unknown": (
+        "It may have run: no usable answer came ({failures}), and it could "
+        "not be sent again."
+    ),
+    "broken_off": "The stream broke and could not go on: {failures}.",
+    "timeout": "The route's timeout passed after {took_ms} ms at {replica}.",
+    "stopping": "The router was about to end after SIGTERM.",
+}
--- a/agatedock/logs.py
+++ b/agatedock/logs.py
@@ -18,6 +18,15 @@
 TELL_LOST_S = 5.0
 
 
+class _Formatter(logfmter.Logfmter):
+    """Formatter whose times have milliseconds."""
+
+    def formatTime(  # noqa: N802
+        self, record: logging.LogRecord, datefmt: str | None = None
+    ) -> str:
+        return f"{super().formatTime(record, datefmt)}.{record.msecs:03.0f}"
+
+
 def configure(level: str, name: str) -> None:
     """Sends logs to standard error as key=value lines.
 
@@ -49,7 +58,7 @@
 
 def _install(handler: logging.Handler, level: str, name: str) -> None:
     handler.setFormatter(
-        logfmter.Logfmter(
+        _Formatter(
             keys=["at", "level", "router"],
             mapping={"at": "asctime", "level": "levelname"},
             datefmt="%Y-%m-%dT%H:%M:%S",
--- a/agatedock/ui/look.py
+++ b/agatedock/ui/look.py
@@ -5,10 +5,12 @@
 import dataclasses
 import datetime
 import json
+import pathlib
 from typing import Annotated
 
 import cappa
 
+from agatedock import evidence
 from agatedock.ui import common
 
 
@@ -29,6 +31,9 @@
 
 def explain_request(command: Explain) -> None:
     """Prints the decisions that the fleet's routers made about a request."""
+    if command.logs:
+        _explain_from_logs(command)
+        return
     rows = common.run(_collect_steps(command))
     if not rows:
         raise common.Exit(
@@ -37,6 +42,34 @@
     common.print_rows(command, rows, ["at", "router", "what", "where", "why"])
 
 
+def _explain_from_logs(command: Explain) -> None:
+    """Prints what collected log files say of a request."""
+    lines = evidence.explain(evidence.read(command.logs), command.request_id)
+    own = [
+        line for line in lines if line.fields.get("id") == command.request_id
+    ]
+    if not own:
+        raise common.Exit(
+            common.EXIT_FAILED, f"no line about {command.request_id!r}"
+        )
+    rows = [
+        {
+            "at": line.at.isoformat(timespec="milliseconds"),
+            "router": line.router,
+            "event": line.event,
+            "details": " ".join(
+                f"{key}={value}"
+                for key, value in line.fields.items()
+                if value and key not in ("at", "level", "router", "event")
+            ),
+        }
+        for line in lines
+    ]
+    common.print_rows(command, rows, ["at", "router", "event", "details"])
+    for line in own:
+        print(f"{line.router}: {evidence.diagnose(line)}")
+
+
 async def _collect_steps(command: Explain) -> list[dict]:
     dump = await common.fetch(command, "/dump")
     rows = []
@@ -62,6 +95,13 @@
     """Arguments of `explain`."""
 
     request_id: Annotated[str, cappa.Arg(help="Id of the request.")]
+    logs: Annotated[
+        list[pathlib.Path],
+        cappa.Arg(
+            long="--log",
+            help="Collected log file; may be given more than once.",
+        ),
+    ] = dataclasses.field(default_factory=list)
 
 
 def list_routers(command: Routers) -> None:
--- /dev/null
+++ b/test/test_evidence.py
@@ -0,0 +1,60 @@
+"""Explaining a request from collected logs alone."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+import unittest
+
+from agatedock import errors
+from agatedock import evidence
+
+LOG = """\
+at=2026-12-04T09:59:59.100 level=INFO event=started node=a router=a
+at=2026-12-04T10:00:03.000 level=INFO event=replica_gone replica=r1 router=a
+at=2026-12-04T10:00:03.100 level=INFO event=replica_gone replica=r9 router=a
+at=2026-12-04T10:00:03.200 level=INFO event=replica_gone replica=r1 router=b
+at=2026-12-04T10:00:04.000 level=WARNING event=request id=q1 replica=r1 \
+failures=r1:broken outcome=outcome_unknown took_ms=900 router=a
+at=2026-12-04T10:00:05.000 level=WARNING event=store_lost \
+cause="GET /x: Timeout \\"now\\"" router=a
+at=2026-12-04T10:00:09.000 level=WARNING event=request id=q2 revision=7 \
+proof_age_ms=4500 outcome=stale_configuration took_ms=1 router=a
+Traceback (most recent call last):
+"""
+
+
+class EvidenceTest(unittest.TestCase):
+    """One file of two routers."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "log"
+        self.path.write_text(LOG)
+        self.lines = evidence.read([self.path])
+
+    def explain(self, request_id: str) -> list[str]:
+        """Returns the events that explain a request."""
+        return [line.event for line in evidence.explain(self.lines, request_id)]
+
+    def test_lines_that_are_not_ours_are_passed_over(self):
+        self.assertEqual(len(self.lines), 7)
+
+    def test_what_its_router_learned_of_its_replica(self):
+        self.assertEqual(
+            self.explain("q1"), ["replica_gone", "request", "store_lost"]
+        )
+
+    def test_diagnosis_names_the_inputs(self):
+        (line,) = [line for line in self.lines if line.fields.get("id") == "q2"]
+        self.assertIn("4500 ms", evidence.diagnose(line))
+        self.assertIn("revision 7", evidence.diagnose(line))
+
+    def test_quoted_values(self):
+        lost = [line for line in self.lines if line.event == "store_lost"]
+        self.assertIn("Timeout", lost[0].fields["cause"])
+
+    def test_unreadable_file_is_one_line_for_the_operator(self):
+        with self.assertRaises(errors.UserError):
+            evidence.read([pathlib.Path("/nowhere/log")])
