Serve what arrives on an idle connection while it is being closed

Ruled out: a slow replica. Change: a connection stops being idle with the first byte that arrives. Test: test_frontend.test_request_that_was_just_read, seen failing without.

--- a/agatedock/serving/frontend.py
+++ b/agatedock/serving/frontend.py
@@ -107,14 +107,40 @@
         await response.prepare(self._raw)
 
 
+class _Connection(web.RequestHandler):
+    """Connection that is idle no more once anything has arrived on it."""
+
+    __slots__ = ("_idle",)
+
+    def __init__(
+        self, server: _Server, idle: set[web.RequestHandler], **options: Any
+    ) -> None:
+        super().__init__(server, **options)
+        self._idle = idle
+
+    @property
+    def has_more(self) -> bool:
+        """Tells whether another request has been read already."""
+        return bool(self._messages)
+
+    def data_received(self, data: bytes) -> None:
+        self._idle.discard(self)
+        super().data_received(data)
+
+
 class _Server(web.Server):
-    """Server that drops lost connections from the idle ones."""
+    """Server that keeps track of its idle connections."""
 
     def __init__(
         self, handler: Any, idle: set[web.RequestHandler], **options: Any
     ) -> None:
-        super().__init__(handler, **options)
+        super().__init__(handler, handler_cancellation=True)
         self._idle = idle
+        self._options = options
+
+    def __call__(self) -> web.RequestHandler:
+        loop = asyncio.get_running_loop()
+        return _Connection(self, self._idle, loop=loop, **self._options)
 
     def connection_lost(
         self, handler: web.RequestHandler, exc: BaseException | None = None
@@ -161,10 +187,14 @@
         One that has not sent any yet is left open: a request may be on its
         way, and its client does not know yet that this router stops.
         """
-        for connection in list(self._idle):
+        for connection in self.list_idle():
             connection.force_close()
         self._idle.clear()
 
+    def list_idle(self) -> list[web.RequestHandler]:
+        """Returns the connections that wait for another request."""
+        return list(self._idle)
+
     def count_connections(self) -> int:
         """Returns the number of open connections."""
         return sum(len(server.connections) for server in self._servers)
@@ -182,7 +212,6 @@
         return _Server(
             self._handle,
             self._idle,
-            handler_cancellation=True,
             auto_decompress=False,
             access_log=None,
             keepalive_timeout=idle_s,
@@ -194,7 +223,6 @@
 
     async def _handle(self, raw: web.BaseRequest) -> web.StreamResponse:
         client = HttpClient(raw, lambda: self._closing)
-        self._idle.discard(raw.protocol)
         try:
             await self._run(raw, client)
         except (ConnectionError, OSError):
@@ -207,8 +235,10 @@
                 await client.answer(502, [], b"internal\n")
             else:
                 client.abort()
-        if raw.transport is not None:
-            self._idle.add(raw.protocol)
+        connection = raw.protocol
+        assert isinstance(connection, _Connection)
+        if raw.transport is not None and not connection.has_more:
+            self._idle.add(connection)
         return client.response or web.Response(status=502)
 
 
--- a/test/test_frontend.py
+++ b/test/test_frontend.py
@@ -56,6 +56,20 @@
         self.assertTrue(reader.at_eof())
         writer.close()
 
+    async def test_request_that_was_just_read(self):
+        """It is answered although its connection counted as idle before."""
+        reader, writer = await self.connect()
+        writer.write(format_request("first"))
+        self.assertEqual(await self.read_status(reader), 200)
+        await asyncio.sleep(0.05)
+        (connection,) = self.router.frontend.list_idle()
+        connection.data_received(format_request("second"))
+        self.router.frontend.close_idle()
+        rest = await asyncio.wait_for(reader.readuntil(b"HTTP/1.1 "), 2)
+        self.assertIn(b"run by", rest)
+        self.assertEqual(await reader.readexactly(3), b"200")
+        writer.close()
+
     async def test_late_request_is_refused_as_not_run(self):
         # A client that has not sent anything keeps the process running.
         _, writer = await self.connect()
