Let a router that the store turns away follow its peers

Change: after each failed read of the store two peers of any failure domain are asked, others each time. Test: test_follower.test_router_that_the_store_turns_away, seen failing first.

--- a/agatedock/decisions/reading.py
+++ b/agatedock/decisions/reading.py
@@ -14,6 +14,8 @@
 
 # Readers in each failure domain.
 READERS = 1
+# Peers asked after each failed read of the store.
+HELPERS = 2
 # Pause between two reads of the store.
 READ_S = 0.8
 # Pause between two questions to a reader.
@@ -63,6 +65,18 @@
     return Step(Source.PEER, tuple(readers))
 
 
+def choose_helpers(name: str, alive: list[str], failures: int) -> list[str]:
+    """Returns the peers to ask when the store turns this router away.
+
+    Args:
+      name: This router.
+      alive: Its peers in all failure domains that were heard lately.
+      failures: Reads of the store that failed in a row; others are asked after
+        each.
+    """
+    return hashing.rank(f"{name}/{failures}", alive)[:HELPERS]
+
+
 def is_fresh(age_s: float) -> bool:
     """Tells whether a peer's listing will do.
 
--- a/agatedock/peers/sharing.py
+++ b/agatedock/peers/sharing.py
@@ -146,8 +146,10 @@
                 addresses.add((host, int(port)))
         return addresses
 
-    def list_alive(self, zone: str) -> list[str]:
-        """Returns the peers in a failure domain that were heard lately."""
+    def list_alive(self, zone: str | None = None) -> list[str]:
+        """Returns the peers that were heard lately, of one zone or of all."""
+        if zone is None:
+            return list(self._zones)
         return [name for name, where in self._zones.items() if where == zone]
 
     def find_address(self, name: str) -> str | None:
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -70,6 +70,18 @@
             view = router.shared.configurations
             self.assertLessEqual(view.proved_at, silent_at)
 
+    async def test_router_that_the_store_turns_away(self):
+        """It goes on serving keys on what a peer proves."""
+        away = platform_helper.find_port()
+        for router in (self.router, self.other):
+            store_client = router._store  # noqa: SLF001
+            address = store_client._url  # noqa: SLF001
+            store_client._url = f"http://127.0.0.1:{away}"  # noqa: SLF001
+            await asyncio.sleep(3.0)
+            view = router.shared.configurations
+            self.assertLess(view.age_s(router.shared.now()), 2.5)
+            store_client._url = address  # noqa: SLF001
+
     async def test_death_of_the_reader(self):
         """The other one reads the store itself, within the bound of 2 s."""
         await self.stop_router(self.task, self.router)
