Add a soak of real processes; compress listings; the fastest link reads the store

Soak: router processes under signals, a loopback proxy, failing replicas and a failing store; checks from what callers and replicas see.

--- a/agatedock/decisions/reading.py
+++ b/agatedock/decisions/reading.py
@@ -46,20 +46,34 @@
     peers: tuple[str, ...] = ()
 
 
-def choose_readers(zone: str, routers: list[str]) -> list[str]:
-    """Returns the routers of a failure domain that read the store."""
-    return hashing.rank(zone, routers)[:READERS]
+def choose_readers(zone: str, links: dict[str, int]) -> list[str]:
+    """Returns the routers of a failure domain that read the store.
 
+    They serve the others, so those with the fastest links come first.
 
-def decide(name: str, zone: str, alive: list[str]) -> Step:
+    Args:
+      zone: The failure domain.
+      links: Speed of the link in Mbit/s by router.
+    """
+    ranked = hashing.rank(zone, links)
+    # The sort is stable: equal links stay in the order of the hash.
+    ranked.sort(key=lambda name: -links[name])
+    return ranked[:READERS]
+
+
+def decide(
+    name: str, zone: str, link_mbps: int, peer_links: dict[str, int]
+) -> Step:
     """Returns where to get the next listing from.
 
     Args:
       name: This router.
       zone: Its failure domain.
-      alive: Its peers in that failure domain that were heard lately.
+      link_mbps: Speed of its link.
+      peer_links: Speeds of the links of its peers in that failure domain that
+        were heard lately, by name.
     """
-    readers = choose_readers(zone, [name, *alive])
+    readers = choose_readers(zone, {**peer_links, name: link_mbps})
     if name in readers:
         return Step(Source.STORE)
     return Step(Source.PEER, tuple(readers))
--- a/agatedock/peers/messages.py
+++ b/agatedock/peers/messages.py
@@ -11,6 +11,7 @@
     Attributes:
       name: The sender.
       zone: Its failure domain.
+      link_mbps: Speed of its VM's link in Mbit/s.
       number: Grows with each message; an older one says nothing new.
       running: The sender's running requests by short number of the replica.
       readings: Pairs of short numbers, part and replica that reads it, that
@@ -19,6 +20,7 @@
 
     name: str
     zone: str
+    link_mbps: int
     number: int
     running: dict[int, int]
     readings: list[tuple[int, int]]
--- a/agatedock/peers/relay.py
+++ b/agatedock/peers/relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 import aiohttp
 from aiohttp import web
 import msgspec
@@ -9,6 +11,9 @@
 from agatedock.peers import snapshots
 
 PATH = "/listing"
+# A configuration of 100 KB for each of 15 peers would fill a slow link.
+COMPRESS_MIN_BYTES = 1000
+COMPRESS_LEVEL = 1
 # A reader that does not answer in this time is passed over.
 ASK_TIMEOUT_S = 0.5
 
@@ -30,7 +35,14 @@
         query.get("source", ""), int(number) if number.isdigit() else 0
     )
     delta = keeper.make_delta(position, now)
-    return web.Response(body=_encoder.encode(delta))
+    body = _encoder.encode(delta)
+    if len(body) < COMPRESS_MIN_BYTES:
+        return web.Response(body=body)
+    # The client's library undoes it.
+    return web.Response(
+        body=zlib.compress(body, COMPRESS_LEVEL),
+        headers={"Content-Encoding": "deflate"},
+    )
 
 
 class Asker:
--- a/agatedock/peers/sharing.py
+++ b/agatedock/peers/sharing.py
@@ -42,6 +42,7 @@
         self,
         name: str,
         zone: str,
+        link_mbps: int,
         counts: loads.Loads,
         parts: prefixes.Prefixes,
         list_peers: Callable[[], dict[str, str]],
@@ -49,6 +50,7 @@
     ) -> None:
         self._name = name
         self._zone = zone
+        self._link_mbps = link_mbps
         self._counts = counts
         self._parts = parts
         self._list_peers = list_peers
@@ -58,7 +60,7 @@
         self._number = int(now() * 1000)
         self._numbers: dict[str, int] = {}
         self._addresses: dict[str, Address] = {}
-        self._zones: dict[str, str] = {}
+        self._latest: dict[str, messages.News] = {}
         self._told_changes = -1
         self._told_at = float("-inf")
         # Bytes that telling all peers took last.
@@ -88,7 +90,7 @@
             for name in self._counts.drop_silent(now, silence_s):
                 self._numbers.pop(name, None)
                 self._addresses.pop(name, None)
-                self._zones.pop(name, None)
+                self._latest.pop(name, None)
                 logs.event(_log, "peer_lost", logging.WARNING, peer=name)
             if self.is_due(now):
                 self.tell(now)
@@ -122,6 +124,7 @@
             messages.News(
                 self._name,
                 self._zone,
+                self._link_mbps,
                 self._number,
                 self._counts.own(),
                 readings,
@@ -146,11 +149,17 @@
                 addresses.add((host, int(port)))
         return addresses
 
-    def list_alive(self, zone: str | None = None) -> list[str]:
-        """Returns the peers that were heard lately, of one zone or of all."""
-        if zone is None:
-            return list(self._zones)
-        return [name for name, where in self._zones.items() if where == zone]
+    def list_alive(self) -> list[str]:
+        """Returns the peers that were heard lately."""
+        return list(self._latest)
+
+    def list_links(self, zone: str) -> dict[str, int]:
+        """Returns the link speeds of peers in a failure domain, by name."""
+        return {
+            name: news.link_mbps
+            for name, news in self._latest.items()
+            if news.zone == zone
+        }
 
     def find_address(self, name: str) -> str | None:
         """Returns the `HOST:PORT` of a peer that was heard lately."""
@@ -180,7 +189,7 @@
         now = self._now()
         self._numbers[news.name] = news.number
         self._addresses[news.name] = (address[0], address[1])
-        self._zones[news.name] = news.zone
+        self._latest[news.name] = news
         self._counts.take_peer(news.name, news.running, now)
         for part, replica in news.readings:
             self._parts.take(part, replica, now)
--- a/agatedock/serving/exchange.py
+++ b/agatedock/serving/exchange.py
@@ -102,7 +102,6 @@
         try:
             await self._wait_for_configuration()
             route, account = self._authorize()
-            self.entry.route = route.name
             left_s = self._left_s(route)
             async with asyncio.timeout(max(0.0, left_s)):
                 await self._serve(route, account)
@@ -153,6 +152,7 @@
         if route is None:
             self._require_proof(now)
             raise declines.Declined(declines.Reason.NO_ROUTE)
+        self.entry.route = route.name
         if document.accounts is None or route.public:
             return route, None
         self._require_proof(now)
--- a/test/platform_helper.py
+++ b/test/platform_helper.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
+import os
 import pathlib
 import socket
 import unittest
@@ -22,13 +24,26 @@
 ORDER = "/order/1"
 LOOKUP = "/lookup/1"
 HOST = "shop.example"
+# Below the range that Linux takes ports of outgoing connections from. Two runs
+# on one machine start at different places.
+PORTS = range(12_000, 32_000)
+_ports = itertools.cycle([*PORTS[os.getpid() * 97 % len(PORTS) :], *PORTS])
 
 
 def find_port() -> int:
-    """Returns a free port of the loopback address."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a free port that the kernel gives to no outgoing connection."""
+    while True:
+        port = next(_ports)
+        with (
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+        ):
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def make_route(prefix: str, kind: str, service: str, **over) -> dict:
@@ -73,6 +88,11 @@
     }
 
 
+def encode(document: dict) -> bytes:
+    """Returns a document as the operator writes it."""
+    return json.dumps(document).encode()
+
+
 def make_settings(store_address: str, **bounds) -> settings.Settings:
     """Returns settings with free ports."""
     return settings.Settings(
@@ -142,7 +162,7 @@
     def configure(self, **over) -> None:
         """Writes the operator's configuration."""
         document = make_configuration(**over)
-        self.store.put("op/config", json.dumps(document).encode())
+        self.store.put("op/config", encode(document))
 
     async def is_ready(self) -> bool:
         """Asks the router as the platform does."""
--- /dev/null
+++ b/test/soak.py
@@ -0,0 +1,436 @@
+"""Randomized soak: real router processes under faults from outside.
+
+`python -m test.soak SEED [SEED ...]` plays seeds and prints what broke. Checks
+rest on what callers got and what the stand-ins of replicas saw, never on the
+routers' own counters.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+import aiohttp
+
+from standins import proxy
+from standins import replica
+from standins import store
+from test import platform_helper
+
+ROUTERS = 3
+REPLICAS = 3
+PLAY_S = 7.0
+CALM_S = 3.0
+REQUESTS_PER_S = 60.0
+GRACE_S = 3.0
+REVOKE_S = 3.0
+PATIENCE_S = 2.5
+# After the last fault, of the requests sent from then on.
+SERVED_SHARE_MIN = 0.95
+KEYS = ("key-1", "key-2")
+
+
+@dataclasses.dataclass
+class Call:
+    """One request as its caller saw it."""
+
+    request_id: str
+    path: str
+    key: str
+    sent_at: float
+    status: int = 0
+    body: bytes = b""
+    whole: bool = False
+    took_s: float = 0.0
+
+
+@dataclasses.dataclass
+class Node:
+    """One router process."""
+
+    path: pathlib.Path
+    frontend: str
+    process: asyncio.subprocess.Process | None = None
+
+
+class Soak:
+    """One play of one seed."""
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self._random = random.Random(seed)
+        self._folder = folder
+        self._store = store.Store()
+        self._replicas: list[replica.Replica] = []
+        self._proxies: list[proxy.Proxy] = []
+        self._nodes: list[Node] = []
+        self._calls: list[Call] = []
+        self._revoked_at = float("inf")
+        self._calm_at = float("inf")
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.broken: list[str] = []
+
+    async def play(self) -> list[str]:
+        """Plays the seed; returns what broke."""
+        try:
+            await self._start()
+            await self._wait_until_served()
+            faults = asyncio.create_task(self._inject())
+            await self._send_load()
+            await faults
+            await asyncio.gather(*self._tasks)
+            self._check()
+        finally:
+            await self._stop()
+        return self.broken
+
+    # Start and end.
+
+    async def _start(self) -> None:
+        await self._store.start()
+        store_proxy = await self._add_proxy(self._store.address)
+        for number in range(2 * REPLICAS):
+            service = ("llm", "shop")[number % 2]
+            item = replica.Replica(f"{service}-{number}", service)
+            item.work_s = 0.02
+            await item.start()
+            front = await self._add_proxy(item.address)
+            item.address = front.address
+            self._replicas.append(item)
+            self._register(item)
+        self._configure(KEYS)
+        for number in range(ROUTERS):
+            node = self._write_settings(number, store_proxy.address)
+            self._nodes.append(node)
+            await self._start_node(node)
+
+    async def _add_proxy(self, address: str) -> proxy.Proxy:
+        item = proxy.Proxy(address)
+        await item.start()
+        self._proxies.append(item)
+        return item
+
+    def _register(self, item: replica.Replica) -> None:
+        self._store.put(f"servers/{item.name}", item.describe())
+
+    def _configure(self, keys: tuple[str, ...]) -> None:
+        document = platform_helper.make_configuration(
+            Version=self._store.revision,
+            Tenants=[{"Name": "office", "ApiKeys": list(keys)}],
+        )
+        data = platform_helper.encode(document)
+        self._store.put("op/config", data)
+
+    def _write_settings(self, number: int, store_address: str) -> Node:
+        path = self._folder / f"router-{number}.toml"
+        frontend = f"127.0.0.1:{platform_helper.find_port()}"
+        port = platform_helper.find_port()
+        path.write_text(
+            f"""
+NodeName = "router-{number}"
+Ip = "127.0.0.1"
+Zone = "a"
+InternalPorts = [{port}, {port}]
+[Listen]
+Frontend = "{frontend}"
+Ready = "127.0.0.1:{platform_helper.find_port()}"
+[Bounds]
+GraceS = {GRACE_S}
+RevokeMs = {REVOKE_S * 1000}
+RetryBudgetRatio = 0.2
+RetryBudgetSlack = 50
+BudgetWindowS = 10
+[Platform]
+Address = "{store_address}"
+"""
+        )
+        return Node(path, frontend)
+
+    async def _start_node(self, node: Node) -> None:
+        with (self._folder / f"{node.path.stem}.log").open("ab") as log:
+            node.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "agatedock_platform",
+                env={**os.environ, "AGATEDOCK_BOOT": str(node.path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def _wait_until_served(self) -> None:
+        async with asyncio.timeout(20):
+            for node in self._nodes:
+                while await self._send(node, "/lookup/0") != 200:
+                    await asyncio.sleep(0.1)
+        self._calls.clear()
+        for item in self._replicas:
+            item.arrivals.clear()
+
+    async def _stop(self) -> None:
+        for node in self._nodes:
+            process = node.process
+            if process is not None and process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                await process.wait()
+        for item in self._proxies:
+            await item.stop()
+        for item in self._replicas:
+            await item.stop()
+        await self._store.stop()
+
+    # Load.
+
+    async def _send_load(self) -> None:
+        began_at = time.monotonic()
+        number = 0
+        while time.monotonic() - began_at < PLAY_S + CALM_S:
+            node = self._random.choice(self._nodes)
+            kind = self._random.choice(("chat", "draft", "order", "lookup"))
+            number += 1
+            task = asyncio.create_task(
+                self._load_one(node, f"/{kind}/{number}")
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self._random.expovariate(REQUESTS_PER_S))
+
+    async def _load_one(self, node: Node, path: str) -> None:
+        await self._send(node, path)
+
+    async def _send(self, node: Node, path: str) -> int:
+        """Sends one request on a connection of its own; returns its status."""
+        key = self._random.choice(KEYS)
+        call = Call(f"id{path}", path, key, time.monotonic())
+        self._calls.append(call)
+        headers = {
+            "Host": platform_helper.HOST,
+            "X-Agatedock-Attempt-Id": call.request_id,
+            "X-Agatedock-Deadline-Ms": str(round(PATIENCE_S * 1000)),
+            "Authorization": f"Bearer {key}",
+        }
+        if path.startswith(("/chat", "/draft")):
+            part = self._random.randrange(5)
+            headers["X-Agatedock-Prompt-Prefix"] = f"a:10,b{part}:90,{path}:5"
+        method = "GET" if path.startswith("/lookup") else "POST"
+        timeout = aiohttp.ClientTimeout(total=PATIENCE_S + 2)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(
+                    method, f"http://{node.frontend}{path}", headers=headers
+                ) as reply,
+            ):
+                call.status = reply.status
+                call.body = await reply.read()
+                call.whole = True
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            # A closed connection promises nothing; the checks see it.
+            call.whole = False
+        call.took_s = time.monotonic() - call.sent_at
+        return call.status
+
+    # Faults.
+
+    async def _inject(self) -> None:
+        """Brings faults in overlapping series until the calm begins."""
+        ends_at = time.monotonic() + PLAY_S
+        running: set[asyncio.Task[None]] = set()
+        while time.monotonic() < ends_at - 2.0:
+            fault = self._random.choice(
+                (
+                    self._fail_link,
+                    self._fail_replica,
+                    self._fail_store,
+                    self._pause_node,
+                    self._kill_node,
+                    self._end_node,
+                    self._reload_node,
+                    self._revoke,
+                )
+            )
+            running.add(asyncio.create_task(fault()))
+            await asyncio.sleep(self._random.uniform(0.1, 0.8))
+        await asyncio.gather(*running)
+        # Time for clients of replaced processes, and for the store's grace.
+        await asyncio.sleep(max(0.0, ends_at - time.monotonic()))
+        self._calm_at = time.monotonic() + 1.0
+
+    async def _fail_link(self) -> None:
+        item = self._random.choice(self._proxies)
+        item.mode = self._random.choice(list(proxy.Mode))
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        item.mode = proxy.Mode.PASS
+
+    async def _fail_replica(self) -> None:
+        item = self._random.choice(self._replicas)
+        name, value = self._random.choice(
+            (
+                ("shed", True),
+                ("error", 500),
+                ("error", 503),
+                ("reset", True),
+                ("cut_after", 2),
+                ("other_id", True),
+                ("unframed", True),
+            )
+        )
+        before = getattr(replica.Faults(), name)
+        setattr(item.faults, name, value)
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        setattr(item.faults, name, before)
+
+    async def _fail_store(self) -> None:
+        faults = self._store.faults
+        name, value = self._random.choice(
+            (
+                ("status", 503),
+                ("status", 429),
+                ("silent", True),
+                ("delay_s", 0.3),
+            )
+        )
+        setattr(faults, name, value)
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        setattr(faults, name, getattr(store.Faults(), name))
+
+    def _choose_running(self) -> Node | None:
+        running = [
+            node
+            for node in self._nodes
+            if node.process is not None and node.process.returncode is None
+        ]
+        return self._random.choice(running) if running else None
+
+    async def _pause_node(self) -> None:
+        node = self._choose_running()
+        if node is None or node.process is None:
+            return
+        process = node.process
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+
+    async def _kill_node(self) -> None:
+        await self._replace(signal.SIGKILL)
+
+    async def _end_node(self) -> None:
+        await self._replace(signal.SIGTERM)
+
+    async def _replace(self, number: signal.Signals) -> None:
+        node = self._choose_running()
+        if node is None or node.process is None:
+            return
+        process = node.process
+        process.send_signal(number)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE_S + 0.5)
+        except TimeoutError:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        # Two faults may have ended the same process.
+        if node.process is process:
+            node.process = None
+            await self._start_node(node)
+
+    async def _reload_node(self) -> None:
+        node = self._choose_running()
+        if node is not None and node.process is not None:
+            node.process.send_signal(signal.SIGHUP)
+
+    async def _revoke(self) -> None:
+        if self._revoked_at == float("inf"):
+            self._configure(KEYS[:1])
+            self._revoked_at = time.monotonic()
+
+    # Checks.
+
+    def _check(self) -> None:
+        runs: collections.Counter[str] = collections.Counter()
+        for item in self._replicas:
+            for run in item.runs:
+                runs[run.headers["X-Agatedock-Attempt-Id"]] += 1
+        for call in self._calls:
+            self._check_call(call, runs[call.request_id])
+        for node in self._nodes:
+            process = node.process
+            if process is None or process.returncode is not None:
+                self._break(f"{node.path.stem} ended by itself")
+        self._check_calm()
+
+    def _check_call(self, call: Call, runs: int) -> None:
+        once = call.path.startswith(("/order", "/draft"))
+        if once and runs > 1:
+            self._break(f"{call.path} ran {runs} times")
+        if once and call.status in (408, 421, 429, 503) and runs:
+            self._break(f"{call.path} was refused but ran")
+        if call.status == 200 and call.whole and not _is_right(call):
+            self._break(f"{call.path} got {call.body!r}")
+        if call.took_s > PATIENCE_S + 1 and not self._was_near_pause(call):
+            self._break(f"{call.path} took {call.took_s:.1f} s")
+        late = call.sent_at > self._revoked_at + REVOKE_S
+        if late and call.key != KEYS[0] and runs:
+            self._break(f"{call.path} ran with a revoked key")
+
+    def _was_near_pause(self, call: Call) -> bool:
+        """Pauses and kills end by the calm; only then is lateness a fault."""
+        return call.sent_at < self._calm_at
+
+    def _check_calm(self) -> None:
+        calm = [
+            call
+            for call in self._calls
+            if call.sent_at > self._calm_at and call.key == KEYS[0]
+        ]
+        served = [call for call in calm if call.status == 200 and call.whole]
+        if len(served) < SERVED_SHARE_MIN * len(calm):
+            self._break(f"after the faults {len(served)} of {len(calm)} served")
+
+    def _break(self, what: str) -> None:
+        self.broken.append(what)
+
+
+def _is_right(call: Call) -> bool:
+    if call.path.startswith(("/chat", "/draft")):
+        expected = b"".join(
+            f"id: {number}\ndata: x\n\n".encode() for number in range(1, 6)
+        )
+        return call.body == expected
+    return call.body.startswith(b"run by shop-")
+
+
+def play(seed: int) -> list[str]:
+    """Plays one seed; returns what broke. Logs of failures are kept."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder)
+        broken = asyncio.run(Soak(seed, path).play())
+        if broken:
+            kept = pathlib.Path("out") / f"soak-{seed}"
+            kept.mkdir(parents=True, exist_ok=True)
+            for log in path.glob("*.log"):
+                (kept / log.name).write_bytes(log.read_bytes())
+        return broken
+
+
+def main(seeds: list[str]) -> int:
+    """Plays the named seeds; returns the exit code."""
+    failed = 0
+    for seed in seeds:
+        broken = play(int(seed))
+        failed += bool(broken)
+        print(f"seed {seed}: {broken[:5] or 'ok'}", flush=True)
+    print(f"{len(seeds) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/test/test_sharing.py
+++ b/test/test_sharing.py
@@ -33,6 +33,7 @@
         self.sharing = sharing.Sharing(
             name,
             "a",
+            1000,
             self.counts,
             self.parts,
             lambda: listed,
@@ -85,7 +86,7 @@
     def test_peer_is_told_though_the_store_lost_it(self):
         node = Node("one", 0)
         node.sharing.take(
-            messages.News("two", "b", 1, {}, []), ("10.0.0.2", 7000)
+            messages.News("two", "b", 10, 1, {}, []), ("10.0.0.2", 7000)
         )
         node.sharing.tell(node.now)
         self.assertEqual(
--- a/test/test_snapshots.py
+++ b/test/test_snapshots.py
@@ -86,17 +86,23 @@
 
     @hypothesis.given(strategies.integers(1, 400))
     def test_few_read_however_many_there_are(self, count):
-        names = [f"router-{number}" for number in range(count)]
-        readers = [
-            name
-            for name in names
-            if reading.decide(
-                name, "a", [other for other in names if other != name]
-            ).source
-            is reading.Source.STORE
-        ]
+        links = {f"router-{number}": 10 for number in range(count)}
+        readers = []
+        for name in links:
+            others = {peer: 10 for peer in links if peer != name}
+            step = reading.decide(name, "a", 10, others)
+            if step.source is reading.Source.STORE:
+                readers.append(name)
         self.assertEqual(len(readers), min(count, reading.READERS))
 
+    def test_router_with_a_slow_link_serves_no_others(self):
+        """Ten slow ones and one fast one: the fast one reads."""
+        for number in range(20):
+            links = {f"router-{number}-{peer}": 10 for peer in range(10)}
+            fast = f"fast-{number}"
+            readers = reading.choose_readers("a", {**links, fast: 200})
+            self.assertEqual(readers, [fast])
+
     def test_lag_stays_within_the_bound(self):
         """A change reaches every router within 2 s, three times over 4 ms."""
         lag_s = reading.READ_S + reading.ASK_S + 0.1
