Leave more room under the bound when counts are old

Change: the bound is 1.25 x the mean + 1 where counts may be over half a second old, 1.5 x the mean + 1.5 elsewhere. Test: test_decisions.test_old_counts_leave_more_room.

--- a/agatedock/decisions/placement.py
+++ b/agatedock/decisions/placement.py
@@ -20,9 +20,13 @@
 
 # A replica gets no more chats above this multiple of the mean plus the slack,
 # counted in running requests. The promise is 2 x the mean + 3; the rest is for
-# requests that other routers have placed and not yet told of.
+# requests that other routers have placed and not yet told of, which are more
+# the older their counts are.
 BOUND_FACTOR = 1.5
 BOUND_SLACK = 1.5
+OLD_BOUND_FACTOR = 1.25
+OLD_BOUND_SLACK = 1.0
+OLD_COUNTS_S = 0.5
 # A replica whose failure rate is above this, and above the lowest one by the
 # same amount, is chosen only if no other is left.
 FAILURE_RATE_MAX = 0.3
@@ -57,6 +61,8 @@
     conditions: Conditions
     prefixes: prefixes.Prefixes
     find_replica: Callable[[int], replicas.Replica | None]
+    # How old the counts of other routers may be, in seconds.
+    get_counts_age_s: Callable[[], float]
     zone: str
 
 
@@ -146,7 +152,7 @@
     key = request.affinity_key
     by_id = {item.replica_id: item for item in candidates}
     mean = _mean_running(candidates, view)
-    bound = BOUND_FACTOR * mean + BOUND_SLACK
+    bound = _bound(mean, view.get_counts_age_s())
     ranked = hashing.rank(key, by_id)
     chosen_id = next(
         (name for name in ranked if view.loads.running(name) < bound), None
@@ -164,6 +170,13 @@
     )
 
 
+def _bound(mean: float, counts_age_s: float) -> float:
+    """Returns the running requests from which a replica is passed over."""
+    if counts_age_s > OLD_COUNTS_S:
+        return OLD_BOUND_FACTOR * mean + OLD_BOUND_SLACK
+    return BOUND_FACTOR * mean + BOUND_SLACK
+
+
 def _find_source(
     request: requests.Request,
     chosen: replicas.Replica,
--- a/agatedock/peers/sharing.py
+++ b/agatedock/peers/sharing.py
@@ -163,10 +163,14 @@
             or told.readings < self._count_readings()
         )
 
+    def get_round_s(self) -> float:
+        """Returns the time in which every peer can be told once."""
+        round_bytes = len(self._told) * self._message_bytes
+        return max(TICK_S, round_bytes / BYTES_PER_S)
+
     def _heartbeat_s(self) -> float:
         """Returns the heartbeat's period, longer in a larger fleet."""
-        round_bytes = len(self._told) * self._message_bytes
-        return max(HEARTBEAT_S, round_bytes / BYTES_PER_S)
+        return max(HEARTBEAT_S, self.get_round_s())
 
     def _tell(self, address: Address, told: _Told, now: float) -> None:
         skipped = max(0, told.readings - self._dropped)
--- a/agatedock/serving/state.py
+++ b/agatedock/serving/state.py
@@ -40,6 +40,11 @@
     """Ignores a reading, for a router without peers."""
 
 
+def _always_fresh() -> float:
+    """Returns the age of counts in a router without peers."""
+    return 0.0
+
+
 @dataclasses.dataclass
 class Shared:
     """Views, decisions with memory, and connections of one router."""
@@ -70,6 +75,8 @@
     configured: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     # Gets each new pair of a prompt part and the replica that reads it.
     tell_reading: Callable[[int, int], None] = _tell_nobody
+    # Returns how old the counts of peers may be, in seconds.
+    get_counts_age_s: Callable[[], float] = _always_fresh
 
     def __post_init__(self) -> None:
         self.view = placement.View(
@@ -77,6 +84,7 @@
             conditions=self.conditions,
             prefixes=self.prefixes,
             find_replica=self.directory.find,
+            get_counts_age_s=lambda: self.get_counts_age_s(),
             zone=self.zone,
         )
 
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -61,6 +61,7 @@
     """A view of some replicas, and what was placed on them."""
 
     def __init__(self, count: int) -> None:
+        self.counts_age_s = 0.0
         self.replicas = [make_replica(number) for number in range(count)]
         self.loads = loads.Loads()
         self.conditions = conditions.Conditions()
@@ -72,6 +73,7 @@
             conditions=self.conditions,
             prefixes=self.prefixes,
             find_replica=self.directory.find,
+            get_counts_age_s=lambda: self.counts_age_s,
             zone="a",
         )
 
@@ -150,6 +152,21 @@
         place = fleet.place(make_request(2, ("doc", "own")))
         self.assertIsNone(place.fetch_from)
 
+    def test_old_counts_leave_more_room(self):
+        """A replica with 8 of a mean of 5 is full only by old counts."""
+        fleet = Fleet(20)
+        request = make_request(1, ("hot", "own"))
+        first = fleet.place(request).replica.replica_id
+        counts = {
+            hashing.shorten(item.replica_id): 5 for item in fleet.replicas
+        }
+        counts[hashing.shorten(first)] = 8
+        fleet.loads.take_peer("others", counts, NOW)
+        self.assertEqual(fleet.place(request).replica.replica_id, first)
+        fleet.loads.end(first)
+        fleet.counts_age_s = 1.0
+        self.assertNotEqual(fleet.place(request).replica.replica_id, first)
+
     def test_stale_counts_draw_no_herd(self):
         """60 routers that see the same counts spread one burst."""
         fleet = Fleet(4)
