--- a/standins/host.py
+++ b/standins/host.py
@@ -63,3 +63,16 @@
         loop.add_signal_handler(number, stop.set)
     await stop.wait()
     await runner.cleanup()
+
+
+async def listen(server: web.Server) -> tuple[web.ServerRunner, str]:
+    """Serves on a free port of the loopback address.
+
+    Returns:
+      What stops the server, and `IP:PORT`.
+    """
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    return runner, f"{host}:{port}"
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -11,6 +11,8 @@
 
 from aiohttp import web
 
+from standins import host
+
 ID = "X-Agatedock-Attempt-Id"
 SEAL = "X-Agatedock-Response-Seal"
 
@@ -73,13 +75,9 @@
 
     async def start(self) -> None:
         """Listens on a free port of the loopback address."""
-        server = web.Server(self._answer, handler_cancellation=True)
-        self._runner = web.ServerRunner(server)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0, shutdown_timeout=0.1)
-        await site.start()
-        host, port = self._runner.addresses[0][:2]
-        self.address = f"{host}:{port}"
+        self._runner, self.address = await host.listen(
+            web.Server(self._answer, handler_cancellation=True)
+        )
 
     async def stop(self) -> None:
         """Stops listening and closes all connections."""
--- a/standins/store.py
+++ b/standins/store.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from standins import host
+
 # Longer than any call waits.
 SILENCE_S = 30.0
 
@@ -42,12 +44,7 @@
 
     async def start(self) -> None:
         """Listens on a free port of the loopback address."""
-        self._runner = web.ServerRunner(web.Server(self._answer))
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0, shutdown_timeout=0.1)
-        await site.start()
-        host, port = self._runner.addresses[0][:2]
-        self.address = f"{host}:{port}"
+        self._runner, self.address = await host.listen(web.Server(self._answer))
 
     async def stop(self) -> None:
         """Stops listening."""
