Never say "not run" of a request that an earlier send may have run

Cause, found by reading: a lookup that had been sent once and then lost its key, its configuration or its replicas was refused with 503, which promises that it has not run. Nothing that is not idempotent was concerned. Change: one place decides, when the answer is written. Test: test_exchange, seen failing first (503).

--- a/agatedock/serving/exchange.py
+++ b/agatedock/serving/exchange.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import aiohttp
+import multidict
 
 from agatedock.decisions import admission
 from agatedock.decisions import placement
@@ -110,9 +111,7 @@
         except TimeoutError:
             await self._decline(
                 declines.Declined(
-                    declines.Reason.TIMEOUT,
-                    not_run=not self._may_have_run,
-                    retry_after_s=RETRY_SOON_S,
+                    declines.Reason.TIMEOUT, retry_after_s=RETRY_SOON_S
                 )
             )
 
@@ -229,7 +228,6 @@
                 raise _PassOn(failure.reply)
             raise declines.Declined(
                 declines.Reason.NO_REPLICA,
-                not_run=not self._may_have_run,
                 retry_after_s=admission.NO_REPLICA_RETRY_S,
             )
         verdict = admission.decide(
@@ -242,7 +240,6 @@
         if not verdict.admitted:
             raise declines.Declined(
                 declines.Reason.OVERLOADED,
-                not_run=not self._may_have_run,
                 retry_after_s=verdict.retry_after_s,
             )
         return place
@@ -266,15 +263,12 @@
             return
         if failure.reply is not None:
             raise _PassOn(failure.reply)
-        not_run = not self._may_have_run
         reason = (
-            declines.Reason.REPLICAS_FULL
-            if not_run
-            else declines.Reason.OUTCOME_UNKNOWN
-        )
-        raise declines.Declined(
-            reason, not_run=not_run, retry_after_s=RETRY_SOON_S
+            declines.Reason.OUTCOME_UNKNOWN
+            if self._may_have_run
+            else declines.Reason.REPLICAS_FULL
         )
+        raise declines.Declined(reason, retry_after_s=RETRY_SOON_S)
 
     async def _send(
         self,
@@ -313,7 +307,7 @@
         self,
         route: configuration.Route,
         place: placement.Placement,
-        headers,
+        headers: multidict.CIMultiDict[str],
         body: bytes,
     ) -> _Failure | None:
         replica_id = place.replica.replica_id
@@ -462,6 +456,8 @@
             self.entry.status = status
             await self._client.answer(status, headers, body)
             return
+        # An earlier send may have run although this refusal is about the next.
+        declined.not_run = declined.not_run and not self._may_have_run
         self.entry.outcome = str(declined.reason)
         self.entry.status = declined.status
         headers = []
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -113,6 +113,17 @@
         status, _, _ = await self.call(ORDER)
         self.assertEqual(status, 200)
 
+    async def test_refusal_after_a_send_does_not_say_not_run(self):
+        """A lookup was sent once; then its key can no longer be checked."""
+        for item in self.replicas.values():
+            item.faults.hang = True
+        self.store.faults.silent = True
+        await asyncio.sleep(0.3)
+        status, headers, _ = await self.call(LOOKUP)
+        self.assertEqual(len(self.list_runs()), 1)
+        self.assertEqual(status, 502)
+        self.assertNotIn("Retry-After", headers)
+
     async def test_public_route_is_served_without_the_store(self):
         route = platform_helper.make_route(
             "/open/", "unsafe", "shop", Public=True
