--- a/agatedock/peers/sharing.py
+++ b/agatedock/peers/sharing.py
@@ -83,7 +83,6 @@
         self._pending: collections.deque[tuple[int, int]] = collections.deque()
         self._dropped = 0
         self._number = int(now() * 1000)
-        self._numbers: dict[str, int] = {}
         self._addresses: dict[str, Address] = {}
         self._latest: dict[str, messages.News] = {}
         # In the order in which they are told.
@@ -112,7 +111,6 @@
             now = self._now()
             silence_s = HEARTBEATS_MISSED * self._heartbeat_s()
             for name in self._counts.drop_silent(now, silence_s):
-                self._numbers.pop(name, None)
                 self._addresses.pop(name, None)
                 self._latest.pop(name, None)
                 logs.event(_log, "peer_lost", logging.WARNING, peer=name)
@@ -240,13 +238,12 @@
         """Learns a message from an address."""
         if news.name == self._name:
             return
-        known = self._numbers.get(news.name)
+        known = self._latest.get(news.name)
         if known is None:
             logs.event(_log, "peer_found", peer=news.name)
-        elif news.number <= known:
+        elif news.number <= known.number:
             return
         now = self._now()
-        self._numbers[news.name] = news.number
         self._addresses[news.name] = (address[0], address[1])
         self._latest[news.name] = news
         self._counts.take_peer(news.name, news.running, now)
--- a/agatedock/serving/events.py
+++ b/agatedock/serving/events.py
@@ -14,12 +14,10 @@
 
     Attributes:
       data: Their bytes; empty if no event is complete yet.
-      first_id: Id of the first event that has one, else None.
       last_id: Id of the last event that has one, else None.
     """
 
     data: bytes
-    first_id: str | None
     last_id: str | None
 
 
@@ -40,7 +38,7 @@
         end = data.rfind(_END)
         if end < 0:
             self._rest = data
-            return Batch(b"", None, None)
+            return Batch(b"", None)
         end += len(_END)
         whole, self._rest = data[:end], data[end:]
         ids = [
@@ -48,6 +46,4 @@
             for line in whole.split(b"\n")
             if line.startswith(_ID)
         ]
-        if not ids:
-            return Batch(whole, None, None)
-        return Batch(whole, ids[0], ids[-1])
+        return Batch(whole, ids[-1] if ids else None)
--- a/agatedock/serving/exchange.py
+++ b/agatedock/serving/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 from typing import Protocol
 
@@ -327,12 +328,13 @@
                 head_timeout_s=self._head_timeout_s(route),
             )
         except sender.SendError as error:
-            conditions.take_unreachable(replica_id, self._shared.now())
+            self._note_broken(replica_id)
             if error.outcome is retries.Outcome.NOT_SENT:
                 self._sends -= 1
                 self._may_have_run = may_have_run_before
             return _Failure(error.outcome)
-        with sender.closing(reply):
+        # What was not read to its end must not be used again.
+        with contextlib.closing(reply):
             kind = self._shared.dialect.classify(
                 self._request, reply.status, reply.headers
             )
@@ -362,9 +364,7 @@
     ) -> _Failure:
         if kind is dialect.ReplyKind.MOVED:
             # The address has a new holder; the listing will say so.
-            self._shared.conditions.take_unreachable(
-                replica_id, self._shared.now()
-            )
+            self._note_broken(replica_id)
             return _Failure(retries.Outcome.MOVED)
         self._shared.conditions.take_result(
             replica_id, False, self._shared.now()
@@ -387,7 +387,7 @@
         try:
             body = await _read_limited(reply)
         except (aiohttp.ClientError, OSError):
-            conditions.take_unreachable(replica_id, self._shared.now())
+            self._note_broken(replica_id)
             return _Failure(retries.Outcome.BROKEN)
         good = kind is dialect.ReplyKind.GOOD
         conditions.take_result(replica_id, good, self._shared.now())
--- a/agatedock/serving/frontend.py
+++ b/agatedock/serving/frontend.py
@@ -29,13 +29,15 @@
 
 
 class HttpClient(exchange.Client):
-    """The client's side of one HTTP request.
-
-    Attributes:
-      closing: Answers tell the client to use another connection.
-    """
+    """The client's side of one HTTP request."""
 
     def __init__(self, raw: web.BaseRequest, closing: Callable[[], bool]):
+        """Takes a request.
+
+        Args:
+          raw: The request as the server read it.
+          closing: Whether answers tell clients to use another connection.
+        """
         self._raw = raw
         self._closing = closing
         self._response: web.StreamResponse | None = None
@@ -177,8 +179,8 @@
         self._servers = [item for item in self._servers if item.connections]
         self._servers.append(self._make_server(limits))
 
-    def close_connections(self) -> None:
-        """Closes idle connections, and the others after their answer."""
+    def start_closing(self) -> None:
+        """Closes each connection after its next answer from now on."""
         self._closing = True
 
     def close_idle(self) -> None:
@@ -225,7 +227,7 @@
         client = HttpClient(raw, lambda: self._closing)
         try:
             await self._run(raw, client)
-        except (ConnectionError, OSError):
+        except OSError:
             # The client is gone; what it asked for was given up with it.
             client.abort()
         except Exception as error:  # noqa: BLE001
--- a/agatedock/serving/sender.py
+++ b/agatedock/serving/sender.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import Any
 
 import aiohttp
@@ -131,12 +130,3 @@
     # of the budget of repeats.
     session._retry_connection = False  # noqa: SLF001
     return session
-
-
-@contextlib.contextmanager
-def closing(reply: aiohttp.ClientResponse):
-    """Closes the connection of an answer that was not read to its end."""
-    try:
-        yield reply
-    finally:
-        reply.close()
