Log what a placement went by, and which owners were silent

Change: fields basis and refusals of each request, event owner_silent, counters agatedock_placements and agatedock_questions_unanswered. No decision changes.

--- a/agatedock/decisions/placement.py
+++ b/agatedock/decisions/placement.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from collections.abc import Set
 import dataclasses
+import enum
 import math
 from typing import Protocol
 
@@ -81,6 +82,34 @@
     zone: str
 
 
+class Basis(enum.StrEnum):
+    """What says that a replica has room for a request."""
+
+    # The owner of its count, asked before.
+    OWNER = "owner"
+    # What was told a moment ago; the owner answers later.
+    TOLD = "told"
+    # What this router believes: every owner that was asked refused.
+    REFUSED = "refused"
+    # What this router believes: an owner did not answer, or none was asked.
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """A replica that a request is counted at.
+
+    Attributes:
+      running: Other requests there.
+      refusals: Owners that refused the request before.
+    """
+
+    replica: replicas.Replica
+    running: int
+    basis: Basis
+    refusals: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
     """Where a request goes.
@@ -91,6 +120,8 @@
       reason: For the log.
       running: Requests at the chosen replica when it was chosen.
       mean: Mean of running requests over the service's replicas.
+      basis: What says that the chosen replica has room.
+      refusals: Owners of counts that refused the request.
     """
 
     replica: replicas.Replica
@@ -98,6 +129,8 @@
     reason: str
     running: int
     mean: float
+    basis: Basis
+    refusals: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,30 +231,26 @@
 
 
 def make_placement(
-    options: Options,
-    chosen: replicas.Replica,
-    running: int,
-    task: Task,
-    view: View,
-    now: float,
+    options: Options, choice: Choice, task: Task, view: View, now: float
 ) -> Placement:
     """Returns the placement of a request at one of its options.
 
     Args:
       options: Where the request may go.
-      chosen: Where it goes.
-      running: Requests there without this one.
+      choice: The one that it is counted at.
       task: The request.
       view: Tells who holds parts of its prompt.
       now: Present time in seconds.
     """
-    first = chosen is options.replicas[0]
+    first = choice.replica is options.replicas[0]
     return Placement(
-        replica=chosen,
-        fetch_from=_find_source(task.request, chosen, view, now),
+        replica=choice.replica,
+        fetch_from=_find_source(task.request, choice.replica, view, now),
         reason=options.reason if first else "bound",
-        running=running,
+        running=choice.running,
         mean=options.mean,
+        basis=choice.basis,
+        refusals=choice.refusals,
     )
 
 
--- a/agatedock/evidence.py
+++ b/agatedock/evidence.py
@@ -36,6 +36,7 @@
         "store_lost",
         "store_regained",
         "lines_lost",
+        "owner_silent",
     }
 )
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
--- a/agatedock/metrics.py
+++ b/agatedock/metrics.py
@@ -18,6 +18,10 @@
         self.requests = self._counter(
             "agatedock_requests", "Requests by service and outcome."
         )
+        self.placements = self._counter(
+            "agatedock_placements",
+            "Requests placed, by service and by what said that there is room.",
+        )
         self.answer_s = aioprometheus.Histogram(
             "agatedock_answer_seconds",
             "Seconds from a request to the end of its answer, by service.",
--- a/agatedock/peers/counting.py
+++ b/agatedock/peers/counting.py
@@ -6,10 +6,12 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
+import logging
 import secrets
 
 from agatedock import addresses
 from agatedock import hashing
+from agatedock import logs
 from agatedock.decisions import ownership
 from agatedock.peers import endpoint
 from agatedock.peers import gossip
@@ -18,6 +20,8 @@
 from agatedock.views import loads
 from agatedock.views import routers
 
+_log = logging.getLogger(__name__)
+
 _SENDER_BITS = 32
 _NUMBER_BITS = 31
 # Between two looks at counts that are to be told again or have lapsed.
@@ -54,7 +58,11 @@
 
 
 class Counting:
-    """This router's reservations, and the ledger of those that it decides."""
+    """This router's reservations, and the ledger of those that it decides.
+
+    Attributes:
+      unanswered: Questions to owners that brought no answer in time.
+    """
 
     def __init__(
         self,
@@ -89,6 +97,7 @@
         # Replicas whose counts changed when bytes were short.
         self._untold: set[int] = set()
         self.ledger = ledger.Ledger()
+        self.unanswered = 0
         wire.handlers[messages.Reservation] = self
         wire.handlers[messages.Reading] = self
         wire.handlers[messages.Verdict] = self
@@ -255,6 +264,8 @@
             async with asyncio.timeout(ownership.ANSWER_S):
                 answer = await awaited
         except TimeoutError:
+            self.unanswered += 1
+            logs.event(_log, "owner_silent", owner=addresses.join(address))
             self._owners.take_silence(owner, self._now())
             return None
         finally:
--- a/agatedock/serving/journal.py
+++ b/agatedock/serving/journal.py
@@ -19,6 +19,8 @@
       proof_age_s: How long before it was proved current.
       failures: Sends without a usable answer, as `REPLICA:OUTCOME`.
       running: Requests at the replica when it was chosen.
+      basis: What said that it has room.
+      refusals: Owners of counts that refused the request before.
       pause_s: Longest time between two pieces of a stream.
     """
 
@@ -30,6 +32,8 @@
     reason: str = ""
     running: int = 0
     mean: float = 0.0
+    basis: str = ""
+    refusals: int = 0
     fetch_from: str = ""
     revision: int = 0
     proof_age_s: float = 0.0
@@ -62,6 +66,8 @@
             "reason": self.reason,
             "running": self.running,
             "mean": round(self.mean, 1),
+            "basis": self.basis,
+            "refusals": self.refusals,
             "fetch_from": self.fetch_from,
             "revision": self.revision,
             "proof_age_ms": _to_ms(self.proof_age_s),
@@ -79,6 +85,8 @@
         self.reason = place.reason
         self.running = place.running
         self.mean = place.mean
+        self.basis = place.basis
+        self.refusals = place.refusals
         if place.fetch_from is not None:
             self.fetch_from = place.fetch_from.replica_id
 
--- a/agatedock/serving/placing.py
+++ b/agatedock/serving/placing.py
@@ -42,20 +42,18 @@
         options = placement.list_options(task, self.view, now)
         if options is None:
             return None
-        chosen, running = await self._reserve(task, options, now)
+        choice = await self._reserve(task, options, now)
         try:
-            await self._seek_part(task, chosen, now)
+            await self._seek_part(task, choice.replica, now)
         except BaseException:
-            self.counts.release(chosen.replica_id)
+            self.counts.release(choice.replica.replica_id)
             raise
-        return placement.make_placement(
-            options, chosen, running, task, self.view, now
-        )
+        return placement.make_placement(options, choice, task, self.view, now)
 
     async def _reserve(
         self, task: placement.Task, options: placement.Options, now: float
-    ) -> tuple[replicas.Replica, int]:
-        """Returns a replica and how many other requests it has."""
+    ) -> placement.Choice:
+        """Returns the replica that the request is counted at."""
         parts = _list_parts(task)
         first = options.replicas[0]
         sure = placement.has_room(task, options, self.view, now)
@@ -70,22 +68,29 @@
                 parts,
                 lambda held: self._learn(first, held, now),
             )
-            return first, running
-        asked = 0
+            return placement.Choice(first, running, placement.Basis.TOLD)
+        refusals = 0
+        basis = placement.Basis.REFUSED
         for replica in options.replicas[:TRIES_MAX]:
             name = replica.replica_id
             verdict = await self.counts.reserve(name, options.most, parts)
             if verdict is None:
+                basis = placement.Basis.SILENT
                 break
-            asked += 1
             self._learn(replica, verdict.held, now)
             if verdict.granted:
-                return replica, verdict.total - 1
+                return placement.Choice(
+                    replica,
+                    verdict.total - 1,
+                    placement.Basis.OWNER,
+                    refusals,
+                )
+            refusals += 1
         # Those that were asked are full, and nobody answers for the next.
-        chosen = placement.choose_by_belief(options, self.view, asked)
+        chosen = placement.choose_by_belief(options, self.view, refusals)
         running = self.view.loads.running(chosen.replica_id)
         self.counts.count(chosen.replica_id, parts)
-        return chosen, running
+        return placement.Choice(chosen, running, basis, refusals)
 
     def _holds_prompt(
         self, task: placement.Task, replica: replicas.Replica, now: float
--- a/agatedock/serving/reporter.py
+++ b/agatedock/serving/reporter.py
@@ -48,6 +48,10 @@
         self._meters.requests.inc(
             {"service": entry.service, "outcome": entry.outcome}
         )
+        if entry.basis:
+            self._meters.placements.inc(
+                {"service": entry.service, "basis": entry.basis}
+            )
         self._meters.answer_s.observe({"service": entry.service}, took_s)
         if entry.pieces:
             self._meters.first_s.observe(
--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -231,6 +231,7 @@
             "agatedock_requests_running": self._running,
             "agatedock_peers": self.shared.routers.count(),
             "agatedock_replicas": self.shared.directory.count(),
+            "agatedock_questions_unanswered": self.shared.counts.unanswered,
             "agatedock_peer_bytes_sent": self.endpoint.bytes_sent,
             "agatedock_log_lines_lost": logs.count_lost(),
         }
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -163,7 +163,8 @@
     if options is None:
         return None
     chosen = placement.choose_by_belief(options, view)
-    return placement.make_placement(options, chosen, 0, task, view, NOW)
+    choice = placement.Choice(chosen, 0, placement.Basis.SILENT)
+    return placement.make_placement(options, choice, task, view, NOW)
 
 
 def _take_change(known: directory.Directory, replica: replicas.Replica) -> None:
--- a/test/helper.py
+++ b/test/helper.py
@@ -127,7 +127,8 @@
         return None
     chosen = placement.choose_by_belief(options, view)
     running = view.loads.running(chosen.replica_id)
-    return placement.make_placement(options, chosen, running, task, view, now)
+    choice = placement.Choice(chosen, running, placement.Basis.SILENT)
+    return placement.make_placement(options, choice, task, view, now)
 
 
 def make_plan(
