--- a/test/test_hot.py
+++ b/test/test_hot.py
@@ -45,6 +45,7 @@
 
 
 GROWN = Size(routers=60, replicas=70, requests_per_s=312.0, hot_per_s=47.0)
+HOTTER = dataclasses.replace(GROWN, hot_per_s=70.0)
 SMALL = Size(routers=6, replicas=9, requests_per_s=30.0, hot_per_s=8.0)
 LARGE = Size(routers=195, replicas=59, requests_per_s=266.0, hot_per_s=40.0)
 
@@ -155,6 +156,13 @@
                 play.run(HOT_FROM_S + HOT_FOR_S + 2.0)
                 self.assertLess(play.worst_share(), SHARE_MAX)
 
+    def test_part_that_fills_its_replicas_does_not_fill_the_next_one(self):
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                play = Play(HOTTER, seed)
+                play.run(HOT_FROM_S + HOT_FOR_S + 2.0)
+                self.assertLess(play.worst_share(), SHARE_MAX)
+
     def test_bound_holds_in_a_small_fleet(self):
         """Its routers often go by what they were told a moment ago."""
         for seed in (1, 2, 3):
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -295,6 +295,36 @@
         await asyncio.sleep(ledger.LAPSE_S + 1.0)
         self.assertEqual(sum_kept(fleet, "replica-0"), 0)
 
+    @in_virtual_time
+    async def test_request_that_ended_is_not_counted_by_a_silent_owner(self):
+        """Another router kept the count when the request ended."""
+        fleet = await start_with_reservations()
+        (owner,) = find_owners(fleet, "replica-0")
+        asking = next(node for node in fleet.nodes if node is not owner)
+        fleet.network.cut["from"].add(owner.port)
+        self.assertIsNone(await asking.counts.reserve("replica-0", NO_LIMIT))
+        fleet.network.cut["from"].clear()
+        for node in fleet.nodes:
+            node.counts.release("replica-0")
+        await wait_until(
+            lambda: not sum_kept(fleet, "replica-0"), ownership.PASS_OVER_S
+        )
+
+    @in_virtual_time
+    async def test_lost_answer_does_not_make_another_router_decide(self):
+        """The other one knows of no requests and would grant."""
+        fleet = await start_with_reservations()
+        (owner,) = find_owners(fleet, "replica-0")
+        asking = next(node for node in fleet.nodes if node is not owner)
+        loop = asyncio.get_running_loop()
+        fleet.network.cut["from"].add(owner.port)
+        loop.call_later(3 * virtual.DELAY_S, fleet.network.cut["from"].clear)
+        first = await asking.counts.reserve("replica-0", 6)
+        second = await asking.counts.reserve("replica-0", 6)
+        for verdict in (first, second):
+            self.assertIsNotNone(verdict)
+            self.assertFalse(verdict.granted)
+
     @in_virtual_time
     async def test_dead_owner_holds_up_nobody(self):
         """Killed: each router loses a few tens of ms once in a while."""
