Spread what a part has too much of, instead of filling one replica

Callers saw: on replicas above their bound, late first events, and with them slower tokens for all others there.

Cause: a request asked the owners of the four replicas that its part prefers. If all refused, it went to the fifth in the part's order without a question, and what this router does not know of counted as nothing. All routers share that order, so the fifth got what the whole fleet could not place.

Ruled out: owners that count too little. In the play of test_hot no placement above the bound had been granted; each had been refused four times, and the owner of the fifth, not asked, knew of 14 to 30 requests where 8 or 9 were allowed.

Change: two further owners are asked for: of one of the next four in the part's order, and of one of all others, both chosen by the request's own hash. If these refuse too, the one that was told to have the fewest is taken.

--- a/agatedock/decisions/placement.py
+++ b/agatedock/decisions/placement.py
@@ -33,7 +33,7 @@
 # same amount, is chosen only if no other is left.
 FAILURE_RATE_MAX = 0.3
 # Replicas that a request chooses from, with shared parts and without.
-OPTIONS_MAX = 8
+PREFERRED_MAX = 4
 CHOICES = 2
 # What was told of a replica's requests is exact enough for this long if it
 # leaves room.
@@ -160,12 +160,14 @@
       most: Requests that a replica may have, this one included.
       mean: Mean of running requests over the service's replicas.
       reason: For the log, if the first one is taken.
+      spills: Whether spare replicas are asked if all of these are full.
     """
 
     replicas: list[replicas.Replica]
     most: int
     mean: float
     reason: str
+    spills: bool = False
 
 
 Policy = Callable[[Task, list[replicas.Replica], View], Options]
@@ -212,20 +214,44 @@
     return view.count_peers() / 2 <= room
 
 
+def list_spare(
+    task: Task, options: Options, view: View, now: float
+) -> list[replicas.Replica]:
+    """Returns further replicas to ask if all options are full.
+
+    Answers the load of a part that has more requests than the replicas which
+    prefer it may run: each request chooses by itself among the next in the
+    part's order, then among all others, so that the surplus fills none.
+
+    Args:
+      task: The request.
+      options: Where it was to go.
+      view: Conditions of the replicas.
+      now: Present time in seconds.
+    """
+    if not options.spills:
+        return []
+    healthy = _keep_healthy(task, view, now)
+    request = task.request
+    ordered = _pick(request.affinity_key, healthy, 2 * PREFERRED_MAX)
+    known = {item.replica_id for item in ordered}
+    others = [item for item in healthy if item.replica_id not in known]
+    spare = _pick(request.request_id, ordered[PREFERRED_MAX:], 1)
+    return spare + _pick(request.request_id, others, 1)
+
+
 def choose_by_belief(
-    options: Options, view: View, begin: int = 0
+    left: list[replicas.Replica], most: int, view: View
 ) -> replicas.Replica:
     """Returns the first replica believed to have room, else the least loaded.
 
     Args:
-      options: Where the request may go.
+      left: Where the request may go, the best first; at least one.
+      most: Requests that a replica may have, this one included.
       view: What is believed of the replicas.
-      begin: Options before this one are out of the question, if others are
-        left.
     """
-    left = options.replicas[begin:] or options.replicas
     for replica in left:
-        if view.loads.running(replica.replica_id) < options.most:
+        if view.loads.running(replica.replica_id) < most:
             return replica
     return min(left, key=lambda item: view.loads.running(item.replica_id))
 
@@ -294,10 +320,11 @@
     """Prefers the replica that the shared part hashes to, under the bound."""
     mean = view.count_running(task.service.name) / len(task.usable)
     return Options(
-        replicas=_pick(task.request.affinity_key, candidates, OPTIONS_MAX),
+        replicas=_pick(task.request.affinity_key, candidates, PREFERRED_MAX),
         most=compute_most(task.service.bound, mean),
         mean=mean,
         reason="prefix",
+        spills=True,
     )
 
 
--- a/agatedock/serving/placing.py
+++ b/agatedock/serving/placing.py
@@ -10,8 +10,6 @@
 from agatedock.peers import counting
 from agatedock.views import ledger
 
-# Replicas asked for; a bound above the mean leaves room at most of them.
-TRIES_MAX = 4
 # A part of fewer tokens is read in less time than a question takes.
 SOUGHT_MIN_TOKENS = 500
 
@@ -69,9 +67,21 @@
                 lambda held: self._learn(first, held, now),
             )
             return placement.Choice(first, running, placement.Basis.TOLD)
-        refusals = 0
+        return await self._ask_owners(task, options, parts, now)
+
+    async def _ask_owners(
+        self,
+        task: placement.Task,
+        options: placement.Options,
+        parts: list[int],
+        now: float,
+    ) -> placement.Choice:
+        """Asks for one replica after the other until one is granted."""
+        refused: list[replicas.Replica] = []
+        left = list(options.replicas)
         basis = placement.Basis.REFUSED
-        for replica in options.replicas[:TRIES_MAX]:
+        while left:
+            replica = left[0]
             name = replica.replica_id
             verdict = await self.counts.reserve(name, options.most, parts)
             if verdict is None:
@@ -83,14 +93,18 @@
                     replica,
                     verdict.total - 1,
                     placement.Basis.OWNER,
-                    refusals,
+                    len(refused),
                 )
-            refusals += 1
-        # Those that were asked are full, and nobody answers for the next.
-        chosen = placement.choose_by_belief(options, self.view, refusals)
+            refused.append(left.pop(0))
+            if len(refused) == len(options.replicas):
+                left = placement.list_spare(task, options, self.view, now)
+        # If all are full, the one that was told to have the fewest.
+        chosen = placement.choose_by_belief(
+            left or refused, options.most, self.view
+        )
         running = self.view.loads.running(chosen.replica_id)
         self.counts.count(chosen.replica_id, parts)
-        return placement.Choice(chosen, running, basis, refusals)
+        return placement.Choice(chosen, running, basis, len(refused))
 
     def _holds_prompt(
         self, task: placement.Task, replica: replicas.Replica, now: float
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -162,7 +162,7 @@
     options = placement.list_options(task, view, NOW)
     if options is None:
         return None
-    chosen = placement.choose_by_belief(options, view)
+    chosen = placement.choose_by_belief(options.replicas, options.most, view)
     choice = placement.Choice(chosen, 0, placement.Basis.SILENT)
     return placement.make_placement(options, choice, task, view, NOW)
 
--- a/test/helper.py
+++ b/test/helper.py
@@ -125,7 +125,7 @@
     options = placement.list_options(task, view, now)
     if options is None:
         return None
-    chosen = placement.choose_by_belief(options, view)
+    chosen = placement.choose_by_belief(options.replicas, options.most, view)
     running = view.loads.running(chosen.replica_id)
     choice = placement.Choice(chosen, running, placement.Basis.SILENT)
     return placement.make_placement(options, choice, task, view, now)
