Tell former owners of a count, too, when requests end

Callers saw: requests passed on from replicas that had room, and refusals of a service that was not full.

Cause: an owner that did not answer a question was passed over for a second and the next router was told the count. What ended meanwhile, or was zero when the second was over, was told to the next one only; the first kept it for up to 4.2 s, and refused for it.

Ruled out: lost releases, which are made good within 0.9 s while something runs.

Change: who was told a count before is told on for the time that it is passed over, and told zero after it.

The plain service's owners still tell 2.2 running where the mean is 1.1: they count requests from the question on, the mean from the send on, so these were not left-overs, as I had thought.

--- a/agatedock/peers/counting.py
+++ b/agatedock/peers/counting.py
@@ -34,11 +34,16 @@
 
 @dataclasses.dataclass(slots=True)
 class _Told:
-    """The last reservation about a replica; `at` in seconds."""
+    """The last reservation about a replica; `at` in seconds.
+
+    Attributes:
+      former: Owners that were told before, and until when they are told on.
+    """
 
     number: int
     owner: int
     at: float
+    former: dict[int, float]
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,6 +126,7 @@
         for replica, told in list(self._told.items()):
             if replica in self._untold:
                 continue
+            self._tell_former(replica, now)
             if not self._counts.count_own(replica):
                 del self._told[replica]
                 continue
@@ -153,7 +159,9 @@
                 self.release(replica_id)
         if verdict is None:
             return None
-        if not verdict.granted:
+        if verdict.granted:
+            self._tell_former(replica, self._now())
+        else:
             self._counts.end(replica_id)
             if self._told[replica].number != verdict.number:
                 # A later reservation has counted this request in.
@@ -287,6 +295,23 @@
         owner = self._find_owner(replica, now)
         reservation = self._make_reservation(replica, owner, now, parts=parts)
         self._deliver(reservation, owner, now)
+        self._tell_former(replica, now)
+
+    def _tell_former(self, replica: int, now: float) -> None:
+        """Tells those that kept a count before, as they may be asked again.
+
+        Else they would go on counting requests that are over.
+        """
+        former = self._told[replica].former
+        for owner, until in list(former.items()):
+            running = self._counts.count_own(replica) if now < until else 0
+            if not running:
+                del former[owner]
+            self._number += 1
+            reservation = messages.Reservation(
+                self._sender, self._number, replica, running
+            )
+            self._deliver(reservation, owner, now)
 
     def _deliver(
         self, reservation: messages.Reservation, owner: int, now: float
@@ -313,12 +338,25 @@
         parts: Sequence[int] = (),
     ) -> messages.Reservation:
         self._number += 1
-        self._told[replica] = _Told(self._number, owner, now)
+        former = self._list_former(replica, owner, now)
+        self._told[replica] = _Told(self._number, owner, now, former)
         count = self._counts.count_own(replica)
         return messages.Reservation(
             self._sender, self._number, replica, count, most, list(parts)
         )
 
+    def _list_former(
+        self, replica: int, owner: int, now: float
+    ) -> dict[int, float]:
+        """Returns who is told of a replica beside its owner, and how long."""
+        told = self._told.get(replica)
+        if told is None:
+            return {}
+        if told.owner != owner:
+            told.former[told.owner] = now + ownership.PASS_OVER_S
+            told.former.pop(owner, None)
+        return told.former
+
     def _find_owner(self, replica: int, now: float) -> int:
         if self._members_seen != self._alive.changes:
             self._members_seen = self._alive.changes
