--- a/test/test_hot.py
+++ b/test/test_hot.py
@@ -160,24 +160,19 @@
     """The bound holds, and parts that are not hot stay where they are."""
 
     def test_bound_holds_while_one_part_is_hot(self):
-        for seed in (1, 2):
-            with self.subTest(seed=seed):
-                play = Play(GROWN, seed)
-                play.run(HOT_FROM_S + HOT_FOR_S + 2.0)
-                self.assertLess(play.worst_share(), SHARE_MAX)
+        self._check_bound(GROWN, (1, 2))
 
     def test_part_that_fills_its_replicas_does_not_fill_the_next_one(self):
-        for seed in (1, 2):
-            with self.subTest(seed=seed):
-                play = Play(HOTTER, seed)
-                play.run(HOT_FROM_S + HOT_FOR_S + 2.0)
-                self.assertLess(play.worst_share(), SHARE_MAX)
+        self._check_bound(HOTTER, (1, 2))
 
     def test_bound_holds_in_a_small_fleet(self):
         """Its routers often go by what they were told a moment ago."""
-        for seed in (1, 2, 3):
+        self._check_bound(SMALL, (1, 2, 3))
+
+    def _check_bound(self, size: Size, seeds: tuple[int, ...]) -> None:
+        for seed in seeds:
             with self.subTest(seed=seed):
-                play = Play(SMALL, seed)
+                play = Play(size, seed)
                 play.run(HOT_FROM_S + HOT_FOR_S + 2.0)
                 self.assertLess(play.worst_share(), SHARE_MAX)
 
