Tell all routers of a leaving replica at once, and encode a listing once for all peers

A router whose listings lie more than 2.5 s apart then takes the gap for an outage of the store and keeps removed entries for 2 s more; so requests reach a replica 3.1 to 4.0 s after its entry was removed.

Change: the reader encodes and compresses a delta once for each position, and sends the listing's age in a header (requests of earlier versions get it in the body as before). A router that learns of a departure sends it down the relay tree in a datagram; it counts until the listing has reached the change, and through the grace period of a router that had a gap itself.

--- a/agatedock/decisions/polling.py
+++ b/agatedock/decisions/polling.py
@@ -116,6 +116,21 @@
     return (position - 1) // TREE_FANOUT
 
 
+def list_children(
+    name: str, link_mbps: int, peer_links: Mapping[str, int]
+) -> list[str]:
+    """Returns the routers that get their listing from this one.
+
+    Args:
+      name: Name of this router.
+      link_mbps: Speed of its link in Mbit/s.
+      peer_links: Link speeds of its live peers in Mbit/s, by name.
+    """
+    ranked = order_by_link({**peer_links, name: link_mbps})
+    first = TREE_FANOUT * ranked.index(name) + 1
+    return ranked[first : first + TREE_FANOUT]
+
+
 def choose_fallback_peers(
     name: str, live_peers: Iterable[str], failures: int
 ) -> list[str]:
--- a/agatedock/peers/followers.py
+++ b/agatedock/peers/followers.py
@@ -16,6 +16,8 @@
 from agatedock import errors
 from agatedock import logs
 from agatedock.decisions import polling
+from agatedock.peers import departures
+from agatedock.peers import endpoint
 from agatedock.peers import gossip
 from agatedock.peers import listings
 from agatedock.peers import relay
@@ -46,6 +48,7 @@
         item_decoder: listings.ItemDecoder,
         listing_client: relay.ListingClient,
         peers: gossip.Gossip,
+        peer_endpoint: endpoint.Endpoint,
         shared: state.SharedState,
         on_configuration: Callable[[], None],
     ) -> None:
@@ -63,6 +66,13 @@
             self._name, item_decoder, shared, on_configuration
         )
         self.listing = snapshots.Listing(item_decoder.is_equivalent)
+        self._departures = departures.DepartureRelay(
+            peer_endpoint,
+            peers,
+            shared.directory,
+            lambda: self.listing.position,
+        )
+        self._listing_server = relay.ListingServer(self.listing)
 
     @property
     def listed_routers(self) -> dict[str, str]:
@@ -140,7 +150,11 @@
         self._poll_schedule.record_read(now, now - requested_at)
         self._record_store_reachability(True, "")
         changes = self.listing.load_snapshot(snapshot, requested_at)
-        self._updater.apply_changes(changes, self.listing, now)
+        self._apply_changes(changes, now)
+
+    def _apply_changes(self, changes: snapshots.Changes, now: float) -> None:
+        departed_ids = self._updater.apply_changes(changes, self.listing, now)
+        self._departures.handle_listing(departed_ids)
 
     async def _fetch_newer_configuration(self) -> None:
         """Queries the peer with the newest configuration if that is newer.
@@ -206,7 +220,7 @@
         self, delta: snapshots.Delta, read_at: float, peer: str
     ) -> None:
         changes = self.listing.apply_delta(delta, read_at)
-        self._updater.apply_changes(changes, self.listing, self._shared.now())
+        self._apply_changes(changes, self._shared.now())
         if self.listing.diverged:
             logs.event(
                 _log, "listing_differs", peer=peer, number=delta.complete_to
@@ -226,11 +240,8 @@
 
     def serve_listing_request(self, raw: web.BaseRequest) -> web.Response:
         """Returns the changes that the requesting peer lacks."""
-        return relay.make_response(
-            self.listing,
-            self._updater.configuration,
-            raw,
-            self._shared.now(),
+        return self._listing_server.make_response(
+            self._updater.configuration, raw, self._shared.now()
         )
 
     def _record_store_reachability(self, reachable: bool, cause: str) -> None:
--- a/agatedock/peers/messages.py
+++ b/agatedock/peers/messages.py
@@ -117,8 +117,22 @@
     replica_hashes: list[int]
 
 
+class Departures(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    """Replicas that accept no new requests any more, sent down the relay tree.
+
+    Attributes:
+      history_id: Identifies the history that the change number belongs to.
+      complete_to: Change number as of which the replicas are leaving or gone.
+      replica_hashes: Hashes of the replicas' ids.
+    """
+
+    history_id: str
+    complete_to: int
+    replica_hashes: list[int]
+
+
 Reply = ReservationReply | PartHolders
-Message = GossipMessage | Reservation | PartLookup | Reply
+Message = GossipMessage | Reservation | PartLookup | Departures | Reply
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/agatedock/peers/relay.py
+++ b/agatedock/peers/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import zlib
 
 import aiohttp
@@ -22,6 +23,14 @@
 # Longer than the idle timeout, as a full delta takes longer over a slow link.
 TOTAL_TIMEOUT_S = 2.0
 
+# With this parameter a request asks for the listing's age in a header, so that
+# one encoded body can be sent several times.
+AGE_PARAMETER = "age"
+AGE_IN_HEADER = "header"
+# Time since the listing was requested from the source, in seconds. It replaces
+# the age in the body.
+AGE_HEADER = "Listing-Age-S"
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(snapshots.Delta)
 
@@ -39,35 +48,95 @@
     revision: int
 
 
-def make_response(
-    listing: snapshots.Listing,
-    configuration: snapshots.Item | None,
-    raw: web.BaseRequest,
-    now: float,
-) -> web.Response:
-    """Returns a response with the delta that the requesting peer lacks.
-
-    Args:
-      listing: This router's listing.
-      configuration: The configuration applied here, which may be newer than
-        the listing; None if there is none.
-      raw: The peer's HTTP request.
-      now: Present time in seconds.
+class ListingServer:
+    """Answers requests of peers for the listing.
+
+    Handles many peers that request the same changes of a large configuration:
+    they are encoded and compressed once for each position.
+    """
+
+    def __init__(self, listing: snapshots.Listing) -> None:
+        """Creates a server of a listing that its owner keeps up to date.
+
+        Args:
+          listing: This router's listing.
+        """
+        self._listing = listing
+        # Bodies by request, all of the same state of the listing.
+        self._bodies: dict[ListingRequest, _Body] = {}
+        self._cached_state: tuple[float, int] | None = None
+
+    def make_response(
+        self,
+        configuration: snapshots.Item | None,
+        raw: web.BaseRequest,
+        now: float,
+    ) -> web.Response:
+        """Returns a response with the delta that the requesting peer lacks.
+
+        Args:
+          configuration: The configuration applied here, which may be newer
+            than the listing; None if there is none.
+          raw: The peer's HTTP request.
+          now: Present time in seconds.
+        """
+        listing_request = _parse_request(raw)
+        if raw.query.get(AGE_PARAMETER) != AGE_IN_HEADER:
+            delta = self._make_delta(listing_request, configuration, now)
+            body = _encode(delta)
+            return web.Response(body=body.data, headers=body.headers)
+        state = (
+            self._listing.read_at,
+            configuration.revision if configuration is not None else 0,
+        )
+        if state != self._cached_state:
+            self._cached_state = state
+            self._bodies.clear()
+        if listing_request not in self._bodies:
+            delta = self._make_delta(listing_request, configuration, now)
+            self._bodies[listing_request] = _encode(delta)
+        body = self._bodies[listing_request]
+        age_s = now - self._listing.read_at
+        return web.Response(
+            body=body.data, headers={**body.headers, AGE_HEADER: repr(age_s)}
+        )
+
+    def _make_delta(
+        self,
+        listing_request: ListingRequest,
+        configuration: snapshots.Item | None,
+        now: float,
+    ) -> snapshots.Delta:
+        delta = self._listing.make_delta(listing_request.position, now)
+        if (
+            configuration is not None
+            and configuration.revision > listing_request.revision
+        ):
+            delta = msgspec.structs.replace(delta, configuration=configuration)
+        return delta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Body:
+    """An encoded delta.
+
+    Attributes:
+      data: The encoding.
+      headers: Headers that describe it.
     """
-    listing_request = _parse_request(raw)
-    delta = listing.make_delta(listing_request.position, now)
-    if (
-        configuration is not None
-        and configuration.revision > listing_request.revision
-    ):
-        delta = msgspec.structs.replace(delta, configuration=configuration)
-    body = _encoder.encode(delta)
-    if len(body) < COMPRESS_MIN_BYTES:
-        return web.Response(body=body)
+
+    data: bytes
+    headers: dict[str, str]
+
+
+def _encode(delta: snapshots.Delta) -> _Body:
+    """Returns a delta's encoding, compressed unless it is short."""
+    data = _encoder.encode(delta)
+    if len(data) < COMPRESS_MIN_BYTES:
+        return _Body(data, {})
     # The HTTP client of the requesting router decompresses it.
-    return web.Response(
-        body=zlib.compress(body, COMPRESS_LEVEL),
-        headers={"Content-Encoding": "deflate"},
+    return _Body(
+        zlib.compress(data, COMPRESS_LEVEL), {"Content-Encoding": "deflate"}
     )
 
 
@@ -120,11 +189,32 @@
             "source": listing_request.position.history_id,
             "number": str(listing_request.position.complete_to),
             "revision": str(listing_request.revision),
+            AGE_PARAMETER: AGE_IN_HEADER,
         }
         url = f"http://{address}{LISTING_PATH}"
         try:
             async with self._session.get(url, params=query) as response:
                 body = await response.read()
-                return _decoder.decode(body)
+                delta = _decoder.decode(body)
+                # Routers of earlier versions send the age in the body only.
+                age_text = response.headers.get(AGE_HEADER)
         except (aiohttp.ClientError, OSError, msgspec.MsgspecError) as error:
             raise errors.Unavailable(f"{address}: {error!r}") from error
+        if age_text is None:
+            return delta
+        return msgspec.structs.replace(delta, age_s=_parse_age_s(age_text))
+
+
+def _parse_age_s(text: str) -> float:
+    """Returns the age in a header.
+
+    Raises:
+      errors.Unavailable: It is not a number.
+    """
+    try:
+        age_s = float(text)
+    except ValueError as error:
+        raise errors.Unavailable(f"invalid age {text!r}") from error
+    if math.isnan(age_s):
+        raise errors.Unavailable(f"invalid age {text!r}")
+    return age_s
--- a/agatedock/peers/updater.py
+++ b/agatedock/peers/updater.py
@@ -58,13 +58,16 @@
         changes: snapshots.Changes,
         listing: snapshots.Listing,
         now: float,
-    ) -> None:
+    ) -> list[str]:
         """Applies the changes of a listing, and confirms the rest as current.
 
         Args:
           changes: Changes since the listing before.
           listing: The listing after the changes.
           now: Present time in seconds.
+
+        Returns:
+          Ids of the replicas that accept no new requests any more.
         """
         by_kind = self._group_by_kind(changes.items)
         for key in changes.removed_keys:
@@ -88,10 +91,11 @@
             by_kind[listings.ItemKind.ROUTER], changes.removed_keys
         )
         if configuration_changed:
-            self._update_all_replicas(listing, changes.removed_keys, now)
-            return
+            return self._update_all_replicas(listing, changes.removed_keys, now)
         items = by_kind[listings.ItemKind.REPLICA]
-        self._update_replicas(items, changes.removed_keys, listing.read_at, now)
+        return self._update_replicas(
+            items, changes.removed_keys, listing.read_at, now
+        )
 
     def apply_newer_configuration(
         self,
@@ -185,14 +189,17 @@
 
     def _update_all_replicas(
         self, listing: snapshots.Listing, removed_keys: list[str], now: float
-    ) -> None:
+    ) -> list[str]:
         """Decodes all replicas again after a change of the configuration.
 
         The configuration may set the number of slots of a replica.
+
+        Returns:
+          Ids of the replicas that accept no new requests any more.
         """
         by_kind = self._group_by_kind(listing.list_items())
         items = by_kind[listings.ItemKind.REPLICA]
-        self._update_replicas(items, removed_keys, listing.read_at, now)
+        return self._update_replicas(items, removed_keys, listing.read_at, now)
 
     def _update_replicas(
         self,
@@ -200,7 +207,12 @@
         removed_keys: list[str],
         read_at: float,
         now: float,
-    ) -> None:
+    ) -> list[str]:
+        """Applies entries of replicas.
+
+        Returns:
+          Ids of the replicas that accept no new requests any more.
+        """
         listed_replicas = []
         removed_ids = [
             self._item_decoder.decode_name(key)
@@ -215,11 +227,18 @@
                 _log_undecodable(item, str(error))
         self._log_changed_replicas(listed_replicas)
         directory = self._shared.directory
+        changed_ids = removed_ids + [
+            replica.replica_id for replica in listed_replicas
+        ]
+        ready_before = [
+            name for name in changed_ids if directory.is_ready(name)
+        ]
         for removed in directory.apply_changes(
             listed_replicas, removed_ids, read_at, now
         ):
             self._shared.remove_replica(removed.replica_id)
             logs.event(_log, "replica_gone", replica=removed.replica_id)
+        return [name for name in ready_before if not directory.is_ready(name)]
 
     def _log_changed_replicas(
         self, listed_replicas: list[replicas.Replica]
--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -134,6 +134,7 @@
             dependencies.item_decoder,
             self._listing_client,
             self.gossip,
+            self.endpoint,
             self.shared,
             self._apply_configuration,
         )
--- a/agatedock/views/directory.py
+++ b/agatedock/views/directory.py
@@ -28,6 +28,8 @@
         # Replicas that announced their own draining, as they were listed at
         # that time.
         self._draining: dict[str, replicas.Replica] = {}
+        # Ids of replicas whose departure peers announced before the listing.
+        self._announced: frozenset[str] = frozenset()
         # Ids whose entries were removed from the listing but are kept here
         # during the grace period.
         self._missing: set[str] = set()
@@ -116,6 +118,15 @@
             self._draining[replica_id] = current
             self._usable.pop(current.service, None)
 
+    def set_announced_departures(self, replica_ids: Iterable[str]) -> None:
+        """Replaces the replicas that peers announced as leaving or gone."""
+        announced = frozenset(replica_ids)
+        for replica_id in announced ^ self._announced:
+            replica = self._replicas.get(replica_id)
+            if replica is not None:
+                self._usable.pop(replica.service, None)
+        self._announced = announced
+
     def list_usable(self, service: str) -> list[replicas.Replica]:
         """Returns the replicas of a service that accept new requests."""
         usable = self._usable.get(service)
@@ -127,6 +138,7 @@
                 ).items()
                 if replica.state is replicas.ReplicaState.READY
                 and replica_id not in self._draining
+                and replica_id not in self._announced
             ]
             self._usable[service] = usable
         return usable
@@ -141,6 +153,17 @@
         """Returns a known replica, also one that is draining."""
         return self._replicas.get(replica_id)
 
+    def is_ready(self, replica_id: str) -> bool:
+        """Returns whether a replica is listed as accepting new requests."""
+        replica = self._replicas.get(replica_id)
+        return (
+            replica is not None and replica.state is replicas.ReplicaState.READY
+        )
+
+    def is_missing(self, replica_id: str) -> bool:
+        """Returns whether a removed entry is kept during the grace period."""
+        return replica_id in self._missing
+
     def get_by_hash(self, replica_hash: int) -> replicas.Replica | None:
         """Returns a known replica by the hash of its id."""
         return self._by_hash.get(replica_hash)
