Log the time to the first event and the tokens that a placement leaves to be read

Cause: a late stream's cause could not be found from the access log; it took a trial that also logged the parts of prompts. Only log fields are new; no decision reads them.

--- a/agatedock/decisions/placement.py
+++ b/agatedock/decisions/placement.py
@@ -137,6 +137,8 @@
       replica: The chosen replica.
       fetch_from: Replica whose cache holds prompt parts that the chosen one
         lacks; None if there is none.
+      unread_tokens: Tokens of the prompt that are in neither cache, as far as
+        this router knows; the replica has to read them.
       reason: Name of the policy, or "bound" if its first choice was at
         capacity; for the access log.
       running: Requests at the chosen replica when it was chosen.
@@ -147,6 +149,7 @@
 
     replica: replicas.Replica
     fetch_from: replicas.Replica | None
+    unread_tokens: int
     reason: str
     running: int
     mean: float
@@ -310,9 +313,13 @@
       now: Present time in seconds.
     """
     first = choice.replica is preferences.replicas[0]
+    source = _find_cache_source(task.request, choice.replica, view, now)
     return Placement(
         replica=choice.replica,
-        fetch_from=_find_cache_source(task.request, choice.replica, view, now),
+        fetch_from=source,
+        unread_tokens=_count_unread_tokens(
+            task.request, source or choice.replica, view, now
+        ),
         reason=preferences.reason if first else "bound",
         running=choice.running,
         mean=preferences.mean,
@@ -421,6 +428,29 @@
     return None
 
 
+def _count_unread_tokens(
+    request: requests.Request,
+    holder: replicas.Replica,
+    view: FleetView,
+    now: float,
+) -> int:
+    """Returns the tokens of a prompt that are not in a replica's cache.
+
+    A cached part is used only if all parts before it are cached, too. So the
+    last cached part decides.
+    """
+    holder_hash = hashing.hash_name(holder.replica_id)
+    unread_tokens = 0
+    for part in reversed(request.prompt):
+        holders = view.prefixes.list_holders(
+            hashing.hash_name(part.part_id), now - reservation_table.PART_TTL_S
+        )
+        if holder_hash in holders:
+            break
+        unread_tokens += part.tokens
+    return unread_tokens
+
+
 @policies.register("least")
 def order_by_load(
     task: Task, candidates: list[replicas.Replica], view: FleetView
--- a/agatedock/serving/access_log.py
+++ b/agatedock/serving/access_log.py
@@ -23,6 +23,8 @@
       refusals: Number of owners that denied the reservation.
       fetch_from: Id of a replica with cached prompt parts that the chosen one
         lacks; empty if there is none.
+      unread_tokens: Tokens of the prompt that no known cache of the chosen
+        replica or of `fetch_from` holds.
       revision: Revision of the applied configuration.
       proof_age_s: Configuration age: time since the configuration was confirmed
         as newest.
@@ -46,6 +48,7 @@
     basis: str = ""
     refusals: int = 0
     fetch_from: str = ""
+    unread_tokens: int = 0
     revision: int = 0
     proof_age_s: float = 0.0
     failures: list[str] = dataclasses.field(default_factory=list)
@@ -61,12 +64,16 @@
         """Returns whether the client did not get a complete response."""
         return self.outcome not in ("answered", "replayed")
 
-    def to_log_fields(self, duration_s: float) -> dict[str, object]:
+    def to_log_fields(
+        self, arrived_at: float, duration_s: float
+    ) -> dict[str, object]:
         """Returns the fields of the log line.
 
         Args:
+          arrived_at: When the request arrived, in seconds.
           duration_s: Time from the request to the end of its response.
         """
+        first_s = self.first_chunk_at - arrived_at if self.chunk_count else 0.0
         return {
             "id": self.request_id,
             "route": self.route,
@@ -79,12 +86,14 @@
             "basis": self.basis,
             "refusals": self.refusals,
             "fetch_from": self.fetch_from,
+            "unread_tokens": self.unread_tokens,
             "revision": self.revision,
             "proof_age_ms": _to_ms(self.proof_age_s),
             "failures": ",".join(self.failures),
             "outcome": self.outcome,
             "status": self.status,
             "pieces": self.chunk_count,
+            "first_ms": _to_ms(first_s),
             "pause_ms": _to_ms(self.max_gap_s),
             "took_ms": _to_ms(duration_s),
         }
@@ -97,6 +106,7 @@
         self.mean = chosen.mean
         self.basis = chosen.basis
         self.refusals = chosen.refusals
+        self.unread_tokens = chosen.unread_tokens
         if chosen.fetch_from is not None:
             self.fetch_from = chosen.fetch_from.replica_id
 
--- a/agatedock/serving/reporter.py
+++ b/agatedock/serving/reporter.py
@@ -63,7 +63,7 @@
                 {"service": log_entry.service},
                 log_entry.first_chunk_at - arrived_at,
             )
-        fields = log_entry.to_log_fields(duration_s)
+        fields = log_entry.to_log_fields(arrived_at, duration_s)
         level = logging.WARNING if log_entry.is_failure else logging.INFO
         logs.event(_log, "request", level, **fields)
         if self._sink is not None:
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -92,6 +92,18 @@
         self.assertIs(first.replica, second.replica)
         self.assertIsNone(second.fetch_from)
 
+    def test_unread_tokens_are_those_of_no_known_cache(self):
+        """Also where only the last shared part is known to be cached."""
+        fleet = Fleet(6)
+        first = fleet.place(make_request(1, ("all", "doc", "own-1")))
+        self.assertEqual(first.unread_tokens, 300)
+        second = fleet.place(make_request(2, ("all", "doc", "own-2")))
+        self.assertEqual(second.unread_tokens, 100)
+        fleet.replicas.remove(first.replica)
+        fetched = fleet.place(make_request(3, ("all", "doc", "own-3")))
+        self.assertIs(fetched.fetch_from, first.replica)
+        self.assertEqual(fetched.unread_tokens, 100)
+
     def test_new_replica_fetches_parts_from_their_holder(self):
         """After a scale-out the new replica fetches the parts it takes over.
 
