Move the queries of owners out of the reservations

peers/reservations.py had 510 lines and two jobs: the counts of this router's requests, and finding, querying and skipping owners, which lookups of prompt parts need as well. The latter is peers/owner_queries.py now; the code is moved, no behaviour changes.

--- a/agatedock/peers/reservations.py
+++ b/agatedock/peers/reservations.py
@@ -13,24 +13,20 @@
 from collections.abc import Sequence
 import dataclasses
 import functools
-import logging
 import secrets
 
 from agatedock import addresses
 from agatedock import hashing
-from agatedock import logs
 from agatedock.decisions import ownership
 from agatedock.peers import endpoint
 from agatedock.peers import gossip
 from agatedock.peers import messages
+from agatedock.peers import owner_queries
 from agatedock.views import loads
 from agatedock.views import reservation_table
 from agatedock.views import routers
 
-_log = logging.getLogger(__name__)
-
 _SENDER_ID_BITS = 32
-_SEQUENCE_BITS = 31
 # Interval between checks for counts that have expired or are due for a report.
 REFRESH_CHECK_S = 0.5
 # Value of `max_running` with which the owner grants every reservation.
@@ -82,7 +78,6 @@
 
     Attributes:
       table: Reservations at the replicas whose counts this router owns.
-      owner_timeouts: Queries to owners that timed out.
     """
 
     def __init__(
@@ -105,28 +100,28 @@
         """
         self._peer_endpoint = peer_endpoint
         self._peers = peers
-        self._membership = membership
         self._own_loads = own_loads
         self._now = now
         self._sender_id = secrets.randbits(_SENDER_ID_BITS)
-        # The first sequence number is random, so that a late reply to an
-        # earlier process of this router matches no query of this one.
-        self._sequence = secrets.randbits(_SEQUENCE_BITS)
-        self._owners = ownership.Owners(peers.router_hash)
-        self._membership_version = -1
-        self._reply_futures: dict[int, asyncio.Future[messages.Reply]] = {}
+        self._queries = owner_queries.OwnerQueries(
+            peer_endpoint, peers, membership, now
+        )
         self._pending_replies: dict[int, _PendingReply] = {}
         self._last_reservations: dict[int, _LastReservation] = {}
         # Replicas whose counts are to be reported when the bandwidth budget
         # allows it.
         self._postponed_reports: set[int] = set()
         self.table = reservation_table.ReservationTable()
-        self.owner_timeouts = 0
         peer_endpoint.handlers[messages.Reservation] = self
         peer_endpoint.handlers[messages.PartLookup] = self
         peer_endpoint.handlers[messages.ReservationReply] = self
         peer_endpoint.handlers[messages.PartHolders] = self
 
+    @property
+    def owner_timeouts(self) -> int:
+        """Returns the number of queries to owners that timed out."""
+        return self._queries.timeouts
+
     async def run(self) -> None:
         """Refreshes counts periodically until cancelled."""
         while True:
@@ -153,7 +148,9 @@
             if not self._own_loads.count_own(replica_hash):
                 del self._last_reservations[replica_hash]
                 continue
-            owner_changed = self._find_owner(replica_hash, now) != last.owner
+            owner_changed = (
+                self._queries.find_owner(replica_hash, now) != last.owner
+            )
             if (
                 owner_changed
                 or now - last.sent_at >= reservation_table.REFRESH_S
@@ -230,7 +227,7 @@
         self._own_loads.begin(replica_id)
         now = self._now()
         replica_hash = hashing.hash_name(replica_id)
-        owner = self._find_owner(replica_hash, now)
+        owner = self._queries.find_owner(replica_hash, now)
         is_own = owner == self._peers.router_hash
         is_reachable = self._peers.get_socket_address(owner) is not None
         if not is_own and not (is_reachable and self._peer_endpoint.may_send()):
@@ -256,7 +253,7 @@
         placement.
         """
         now = self._now()
-        owner = self._find_owner(hashing.hash_name(replica_id), now)
+        owner = self._queries.find_owner(hashing.hash_name(replica_id), now)
         return not any(
             pending.owner == owner
             and now - pending.sent_at > ownership.REPLY_TIMEOUT_S
@@ -282,7 +279,7 @@
         part_hashes: Sequence[int],
         now: float,
     ) -> messages.ReservationReply | None:
-        owner = self._find_owner(replica_hash, now)
+        owner = self._queries.find_owner(replica_hash, now)
         make_message = functools.partial(
             self._make_reservation,
             replica_hash,
@@ -293,7 +290,7 @@
         )
         if owner == self._peers.router_hash:
             return self.table.handle_reservation(make_message(), now)
-        reply = await self._query_owner(make_message, owner)
+        reply = await self._queries.query(make_message, owner)
         return reply if isinstance(reply, messages.ReservationReply) else None
 
     async def find_part_holders(
@@ -313,13 +310,13 @@
           owner could not be queried or timed out.
         """
         now = self._now()
-        owner = self._find_owner(part_hash, now)
+        owner = self._queries.find_owner(part_hash, now)
         make_message = functools.partial(
             self._make_lookup, part_hash, hashing.hash_name(replica_id)
         )
         if owner == self._peers.router_hash:
             return self.table.handle_lookup(make_message(), now).replica_hashes
-        reply = await self._query_owner(make_message, owner)
+        reply = await self._queries.query(make_message, owner)
         return (
             reply.replica_hashes
             if isinstance(reply, messages.PartHolders)
@@ -329,58 +326,9 @@
     def _make_lookup(
         self, part_hash: int, replica_hash: int
     ) -> messages.PartLookup:
-        self._sequence += 1
-        return messages.PartLookup(self._sequence, part_hash, replica_hash)
-
-    async def _query_owner(
-        self,
-        make_message: Callable[[], messages.Reservation | messages.PartLookup],
-        owner: int,
-    ) -> messages.Reply | None:
-        """Sends a query to an owner and waits for the reply.
-
-        The query is sent once more after `ownership.RETRANSMIT_S`.
-
-        Args:
-          make_message: Returns the query, with a new sequence number at each
-            call.
-          owner: Hash of the owner.
-
-        Returns:
-          The reply; None if the owner could not be queried or timed out.
-        """
-        now = self._now()
-        address = self._peers.get_socket_address(owner)
-        if address is None or not self._owners.may_query(now):
-            return None
-        if not self._peer_endpoint.may_send():
-            return None
-        loop = asyncio.get_running_loop()
-        future: asyncio.Future[messages.Reply] = loop.create_future()
-        sequences: list[int] = []
-
-        def send_request() -> None:
-            message = make_message()
-            sequences.append(message.sequence)
-            self._reply_futures[message.sequence] = future
-            self._peer_endpoint.send(message, address)
-
-        send_request()
-        retransmission = loop.call_later(ownership.RETRANSMIT_S, send_request)
-        try:
-            async with asyncio.timeout(ownership.REPLY_TIMEOUT_S):
-                reply = await future
-        except TimeoutError:
-            self.owner_timeouts += 1
-            logs.event(_log, "owner_silent", owner=addresses.join(address))
-            self._owners.record_timeout(owner, self._now())
-            return None
-        finally:
-            retransmission.cancel()
-            for sequence in sequences:
-                del self._reply_futures[sequence]
-        self._owners.record_reply(owner)
-        return reply
+        return messages.PartLookup(
+            self._queries.make_sequence(), part_hash, replica_hash
+        )
 
     def _report_count(
         self, replica_hash: int, now: float, part_hashes: Sequence[int] = ()
@@ -393,7 +341,7 @@
             self._postponed_reports.add(replica_hash)
             return
         self._postponed_reports.discard(replica_hash)
-        owner = self._find_owner(replica_hash, now)
+        owner = self._queries.find_owner(replica_hash, now)
         reservation = self._make_reservation(
             replica_hash, owner, now, part_hashes=part_hashes
         )
@@ -414,9 +362,11 @@
             )
             if not running:
                 del previous_owners[owner]
-            self._sequence += 1
             reservation = messages.Reservation(
-                self._sender_id, self._sequence, replica_hash, running
+                self._sender_id,
+                self._queries.make_sequence(),
+                replica_hash,
+                running,
             )
             self._send_reservation(reservation, owner, now)
 
@@ -444,15 +394,15 @@
         max_running: int = 0,
         part_hashes: Sequence[int] = (),
     ) -> messages.Reservation:
-        self._sequence += 1
+        sequence = self._queries.make_sequence()
         previous_owners = self._update_previous_owners(replica_hash, owner, now)
         self._last_reservations[replica_hash] = _LastReservation(
-            self._sequence, owner, now, previous_owners
+            sequence, owner, now, previous_owners
         )
         running = self._own_loads.count_own(replica_hash)
         return messages.Reservation(
             self._sender_id,
-            self._sequence,
+            sequence,
             replica_hash,
             running,
             max_running,
@@ -481,12 +431,6 @@
             last.previous_owners.pop(owner, None)
         return last.previous_owners
 
-    def _find_owner(self, key_hash: int, now: float) -> int:
-        if self._membership_version != self._membership.membership_version:
-            self._membership_version = self._membership.membership_version
-            self._owners.set_members(self._membership.list_hashes())
-        return self._owners.find(key_hash, now)
-
     def handle_message(
         self, message: messages.Message, address: addresses.Address
     ) -> None:
@@ -505,6 +449,4 @@
             ):
                 self._apply_background_reply(pending, message)
                 return
-            future = self._reply_futures.get(message.sequence)
-            if future is not None and not future.done():
-                future.set_result(message)
+            self._queries.handle_reply(message)
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -453,7 +453,7 @@
         remote = [
             name
             for name in names
-            if restarted.reservations._find_owner(  # noqa: SLF001
+            if restarted.reservations._queries.find_owner(  # noqa: SLF001
                 hashing.hash_name(name), fleet_time()
             )
             != restarted.gossip.router_hash
@@ -592,7 +592,7 @@
         usable = [
             item
             for item in fleet.replica_directory.list_usable("llm")
-            if node.reservations._find_owner(  # noqa: SLF001
+            if node.reservations._queries.find_owner(  # noqa: SLF001
                 hashing.hash_name(item.replica_id), loop.time()
             )
             != node.gossip.router_hash
