Log what replicas say of themselves in response heads, and why requests were refused

No line told whether an answer with Server-Leaving, or a 503 with Retry-After, had been read by a router, and when. The dialects parse both words into a Notice (the native API has X-Draining for the first) and the handler logs event=replica_notice with replica, request id and status. The access log gets the details of the router's own errors. No logic changes.

--- a/agatedock/diagnosis.py
+++ b/agatedock/diagnosis.py
@@ -28,6 +28,7 @@
         "registration_lost",
         "reloaded",
         "replica_gone",
+        "replica_notice",
         "replica_seen",
         "replicas_seen",
         "started",
--- a/agatedock/native/native_dialect.py
+++ b/agatedock/native/native_dialect.py
@@ -127,6 +127,21 @@
             return dialect.ResponseKind.SUCCESS
         return dialect.ResponseKind.FAILED
 
+    def parse_notice(
+        self,
+        request: requests.Request,
+        status: int,
+        headers: Mapping[str, str],
+    ) -> dialect.Notice:
+        """Returns what the upstream says of itself in a response head."""
+        del request
+        return dialect.Notice(
+            draining=DRAINING_HEADER in headers,
+            retry_after=headers.get("Retry-After")
+            if status == _SERVICE_UNAVAILABLE
+            else None,
+        )
+
     def matches_request(self, request: requests.Request, data: bytes) -> bool:
         """Returns whether all events carry the id of the request."""
         expected_id = make_engine_request_id(request)
--- a/agatedock/serving/access_log.py
+++ b/agatedock/serving/access_log.py
@@ -31,6 +31,7 @@
       failures: Attempts without a usable response, as `REPLICA:OUTCOME`.
       outcome: Result of the request; `client_left` until another is set, as a
         client that disconnects ends the work at any point.
+      details: Why the router itself failed or rejected the request.
       chunk_count: Chunks of the stream so far.
       first_chunk_at: Time of the first chunk, in seconds.
       last_chunk_at: Time of the latest chunk, in seconds.
@@ -53,6 +54,7 @@
     proof_age_s: float = 0.0
     failures: list[str] = dataclasses.field(default_factory=list)
     outcome: str = "client_left"
+    details: str = ""
     status: int = 0
     chunk_count: int = 0
     first_chunk_at: float = 0.0
@@ -91,6 +93,7 @@
             "proof_age_ms": _to_ms(self.proof_age_s),
             "failures": ",".join(self.failures),
             "outcome": self.outcome,
+            "details": self.details,
             "status": self.status,
             "pieces": self.chunk_count,
             "first_ms": _to_ms(first_s),
--- a/agatedock/serving/dialect.py
+++ b/agatedock/serving/dialect.py
@@ -36,6 +36,20 @@
     INVALID = "invalid"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """What a replica says of itself in the head of any response.
+
+    Attributes:
+      draining: Whether it accepts no new requests any more.
+      retry_after: Value of Retry-After if it rejected the request and wants no
+        other from this router for that long; None if it said nothing.
+    """
+
+    draining: bool = False
+    retry_after: str | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt to run a request on a replica.
@@ -114,6 +128,14 @@
     ) -> ResponseKind:
         """Returns how the head of a response is classified."""
 
+    def parse_notice(
+        self,
+        request: requests.Request,
+        status: int,
+        headers: Mapping[str, str],
+    ) -> Notice:
+        """Returns what the replica says of itself in a response head."""
+
     def matches_request(self, request: requests.Request, data: bytes) -> bool:
         """Returns whether all events in the data belong to a request."""
 
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -9,14 +9,17 @@
 
 import asyncio
 import contextlib
+import logging
 
 import aiohttp
 
+from agatedock import logs
 from agatedock.decisions import admission
 from agatedock.decisions import placement
 from agatedock.decisions import retries
 from agatedock.decisions import shares
 from agatedock.domain import configuration
+from agatedock.domain import replicas
 from agatedock.domain import requests
 from agatedock.serving import access_log
 from agatedock.serving import dialect
@@ -43,6 +46,8 @@
 # Most attempts of one stream that has begun, over all replicas.
 STREAM_ATTEMPTS_MAX = 6
 
+_log = logging.getLogger(__name__)
+
 
 class RequestHandler:
     """Serves one client request.
@@ -109,6 +114,7 @@
         # An earlier attempt may have run, even if the last one did not.
         request_error.not_run = request_error.not_run and not self._may_have_run
         self.request_error = request_error
+        self.log_entry.details = request_error.details
         if self._forwarder.streaming:
             self.log_entry.outcome = f"broken_off:{request_error.code}"
             await self._client.abort_stream(request_error)
@@ -497,6 +503,7 @@
             )
             now = shared.now()
             shared.health.record_activity(replica.replica_id, now)
+            self._handle_notice(replica, response)
             if kind in _NOT_RUN_KINDS:
                 self._may_have_run = may_have_run_before
                 return await self._handle_not_run(
@@ -549,6 +556,25 @@
             response.close()
         return response_forwarder.AttemptFailure(retries.Outcome.NOT_RUN)
 
+    def _handle_notice(
+        self, replica: replicas.Replica, response: aiohttp.ClientResponse
+    ) -> None:
+        """Logs what a replica says of itself in a response head."""
+        notice = self._shared.dialect.parse_notice(
+            self._request, response.status, response.headers
+        )
+        if notice == dialect.Notice():
+            return
+        logs.event(
+            _log,
+            "replica_notice",
+            replica=replica.replica_id,
+            id=self._request.request_id,
+            status=response.status,
+            draining=notice.draining,
+            retry_after=notice.retry_after,
+        )
+
     def _record_unreachable(self, replica_id: str) -> None:
         self._shared.health.record_unreachable(replica_id, self._shared.now())
 
