--- a/standins/replica.py
+++ b/standins/replica.py
@@ -4,10 +4,12 @@
 
 import asyncio
 from collections.abc import Mapping
+import contextlib
 import dataclasses
 import json
 import socket
 import struct
+import time
 
 from aiohttp import web
 
@@ -15,7 +17,7 @@
 
 ATTEMPT_ID_HEADER = "X-Agatedock-Attempt-Id"
 SEAL_HEADER = "X-Agatedock-Response-Seal"
-
+LEAVING_HEADER = "Server-Leaving"
 
 # Number of bytes that a stalled response sends, and the pause between them.
 TRICKLE_BYTES = 100
@@ -39,6 +41,9 @@
       unsealed: Responses lack the seal header, which shows that a replica
         made them.
       unframed: Bodies have no length and are reset before their end.
+      leaving: All responses say that the replica is leaving.
+      retry_after: Every request is rejected as not executed, with this value
+        of Retry-After; empty for none.
     """
 
     shed: bool = False
@@ -50,11 +55,21 @@
     other_id: bool = False
     unsealed: bool = False
     unframed: bool = False
+    leaving: bool = False
+    retry_after: str = ""
 
 
 @dataclasses.dataclass
 class ReceivedRequest:
-    """One request and what became of it at the replica."""
+    """One request and what became of it at the replica.
+
+    Attributes:
+      received_at: Monotonic time in seconds.
+      told_leaving_at: When a response said that the replica is leaving; None if
+        none did.
+      paused_at: When it was rejected with Retry-After; None if it was not.
+      pause_s: That Retry-After.
+    """
 
     method: str
     target: str
@@ -63,6 +78,10 @@
     ran: bool = False
     finished: bool = False
     cancelled: bool = False
+    received_at: float = dataclasses.field(default_factory=time.monotonic)
+    told_leaving_at: float | None = None
+    paused_at: float | None = None
+    pause_s: float = 0.0
 
 
 class Replica:
@@ -124,13 +143,11 @@
         self.received_requests.append(received)
         expected = raw.headers.get("X-Agatedock-Expect-Replica")
         if expected not in (None, self.name):
-            return web.Response(
-                status=421, headers={"X-Agatedock-Replica-Id": self.name}
-            )
-        if self.faults.shed:
-            return web.Response(
-                status=503, headers={"X-Agatedock-Not-Executed": "1"}
+            return self._make_response(
+                received, 421, {"X-Agatedock-Replica-Id": self.name}
             )
+        if self.faults.shed or self.faults.retry_after:
+            return self._reject(received)
         received.ran = True
         try:
             return await self._run(raw, received)
@@ -138,6 +155,37 @@
             received.cancelled = True
             raise
 
+    def _reject(self, received: ReceivedRequest) -> web.Response:
+        """Rejects a request as not executed."""
+        attempt_id = received.headers.get(ATTEMPT_ID_HEADER, "")
+        headers = {
+            ATTEMPT_ID_HEADER: attempt_id,
+            "X-Agatedock-Not-Executed": "1",
+        }
+        if self.faults.retry_after:
+            headers["Retry-After"] = self.faults.retry_after
+            received.paused_at = time.monotonic()
+            with contextlib.suppress(ValueError):
+                received.pause_s = float(self.faults.retry_after)
+        return self._make_response(received, 503, headers)
+
+    def _make_response(
+        self,
+        received: ReceivedRequest,
+        status: int,
+        headers: dict[str, str],
+        text: str = "",
+    ) -> web.Response:
+        self._add_leaving(received, headers)
+        return web.Response(status=status, headers=headers, text=text)
+
+    def _add_leaving(
+        self, received: ReceivedRequest, headers: dict[str, str]
+    ) -> None:
+        if self.faults.leaving:
+            headers[LEAVING_HEADER] = "1"
+            received.told_leaving_at = time.monotonic()
+
     async def _run(
         self, raw: web.BaseRequest, received: ReceivedRequest
     ) -> web.StreamResponse:
@@ -156,8 +204,8 @@
         if not faults.unsealed:
             headers[SEAL_HEADER] = f"seal-{self.name}"
         if faults.error:
-            return web.Response(
-                status=faults.error, headers=headers, text="failed"
+            return self._make_response(
+                received, faults.error, headers, "failed"
             )
         if faults.unframed:
             return await self._respond_unframed(raw, headers)
@@ -168,7 +216,9 @@
             await response.prepare(raw)
             await _trickle(response)
         received.finished = True
-        return web.Response(headers=headers, text=f"run by {self.name}")
+        return self._make_response(
+            received, 200, headers, f"run by {self.name}"
+        )
 
     async def _stream(
         self,
@@ -176,6 +226,7 @@
         received: ReceivedRequest,
         headers: dict[str, str],
     ) -> web.StreamResponse:
+        self._add_leaving(received, headers)
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(raw)
