Heed a replica that says in a response that it is draining (DRAIN)

What callers saw: requests reached a replica long after it had told the router, in an answer, that it leaves. Nothing read Server-Leaving; the native API's X-Draining was read on a 503 only, and the mark was dropped as soon as an entry of the replica changed, also one written before.

The directory now marks the run of the replica (id, start, address) that said so. The mark outlives removed and returning entries and is not passed to a later run, except if that run had been listed before the response came from its address. A request whose replica began to drain while an owner was queried is placed once more, as it could have been sent seconds later.

Class of fault: a word added to the protocol that no code reads, and evidence tied to an entry instead of to the process it is about.

--- a/agatedock/diagnosis.py
+++ b/agatedock/diagnosis.py
@@ -27,6 +27,7 @@
         "reader_lost",
         "registration_lost",
         "reloaded",
+        "replica_draining",
         "replica_gone",
         "replica_notice",
         "replica_seen",
--- a/agatedock/domain/replicas.py
+++ b/agatedock/domain/replicas.py
@@ -13,6 +13,21 @@
     DRAINING = "draining"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lifetime:
+    """One run of a replica, from the start of its process to its end.
+
+    Attributes:
+      replica_id: Id of the replica, which a later run may have as well.
+      started_at_ms: Unix time of its start in milliseconds; 0 if unknown.
+      address: `IP:PORT`.
+    """
+
+    replica_id: str
+    started_at_ms: int
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replica:
     """One replica of a service.
@@ -38,6 +53,11 @@
     started_at_ms: int
     sequence: int
 
+    @property
+    def lifetime(self) -> Lifetime:
+        """Returns the run of the replica that this entry describes."""
+        return Lifetime(self.replica_id, self.started_at_ms, self.address)
+
     def is_older_than(self, other: Replica) -> bool:
         """Returns whether this entry was written before another of the id."""
         return (self.started_at_ms, self.sequence) < (
--- a/agatedock/native/native_dialect.py
+++ b/agatedock/native/native_dialect.py
@@ -114,7 +114,7 @@
     ) -> dialect.ResponseKind:
         """Returns how status and headers of a response are to be treated."""
         if status == _SERVICE_UNAVAILABLE and DRAINING_HEADER in headers:
-            return dialect.ResponseKind.DRAINING
+            return dialect.ResponseKind.NOT_RUN
         if request.prompt:
             return _classify_chat(request, status, headers)
         echoed_id = headers.get(
--- a/agatedock/serving/dialect.py
+++ b/agatedock/serving/dialect.py
@@ -28,8 +28,6 @@
     # may have run.
     AMBIGUOUS = "ambiguous"
     NOT_RUN = "not_run"
-    # Not run, and the replica accepts no more requests.
-    DRAINING = "leaving"
     # Not run, because another replica now has the address.
     MISDIRECTED = "moved"
     # Not a response to this request, or not from a replica.
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -286,11 +286,26 @@
         Once none is left, or the route's limit of replicas is reached, an
         idempotent request may go again to those that have received it.
         """
-        shared = self._shared
         service_config = self._configuration.services.get(service)
         if service_config is None:
             return None
-        usable = shared.directory.list_usable(service)
+        shared = self._shared
+        replica_placer = placer.Placer(shared.view, shared.reservations)
+        while True:
+            task = self._make_task(route, service_config)
+            chosen = await replica_placer.place(task, now)
+            if chosen is None or shared.directory.is_usable(chosen.replica):
+                return chosen
+            # It began to drain while its owner was queried.
+            shared.reservations.release(chosen.replica.replica_id)
+
+    def _make_task(
+        self,
+        route: configuration.Route,
+        service_config: configuration.Service,
+    ) -> placement.Task:
+        """Returns the replicas that the next attempt may go to."""
+        usable = self._shared.directory.list_usable(service_config.name)
         tried = frozenset(self._tried_ids)
         # A replica that failed a request, or whose connection broke, may
         # serve it at the second attempt.
@@ -309,11 +324,9 @@
             tried = frozenset()
         else:
             retry_ids = frozenset()
-        task = placement.Task(
+        return placement.Task(
             self._request, service_config, usable, tried, retry_ids
         )
-        replica_placer = placer.Placer(shared.view, shared.reservations)
-        return await replica_placer.place(task, now)
 
     def _check_admission(
         self,
@@ -546,8 +559,6 @@
             return response_forwarder.AttemptFailure(
                 retries.Outcome.MISDIRECTED
             )
-        if kind is dialect.ResponseKind.DRAINING:
-            self._shared.directory.mark_draining(replica_id)
         self._shared.health.record_result(replica_id, False, self._shared.now())
         try:
             # The connection can be reused once the response is read.
@@ -559,7 +570,7 @@
     def _handle_notice(
         self, replica: replicas.Replica, response: aiohttp.ClientResponse
     ) -> None:
-        """Logs what a replica says of itself in a response head."""
+        """Heeds what a replica says of itself in a response head."""
         notice = self._shared.dialect.parse_notice(
             self._request, response.status, response.headers
         )
@@ -574,6 +585,18 @@
             draining=notice.draining,
             retry_after=notice.retry_after,
         )
+        if notice.draining:
+            self._handle_draining(replica)
+
+    def _handle_draining(self, replica: replicas.Replica) -> None:
+        shared = self._shared
+        if shared.directory.mark_draining(replica, shared.now()):
+            logs.event(
+                _log,
+                "replica_draining",
+                replica=replica.replica_id,
+                id=self._request.request_id,
+            )
 
     def _record_unreachable(self, replica_id: str) -> None:
         self._shared.health.record_unreachable(replica_id, self._shared.now())
@@ -582,7 +605,6 @@
 _NOT_RUN_KINDS = frozenset(
     {
         dialect.ResponseKind.NOT_RUN,
-        dialect.ResponseKind.DRAINING,
         dialect.ResponseKind.MISDIRECTED,
     }
 )
--- a/agatedock/views/directory.py
+++ b/agatedock/views/directory.py
@@ -13,6 +13,8 @@
 # After such a gap, removed entries are kept for this long, in which live
 # replicas register again.
 EXPIRY_GRACE_S = 2.0
+# Lifetimes that are remembered as draining; the oldest are dropped first.
+DRAINING_LIFETIMES_MAX = 1000
 
 
 class Directory:
@@ -25,9 +27,9 @@
         # Cache of `list_usable`; invalidated when a replica of the service
         # changes.
         self._usable: dict[str, list[replicas.Replica]] = {}
-        # Replicas that announced their own draining, as they were listed at
-        # that time.
-        self._draining: dict[str, replicas.Replica] = {}
+        # When a response first said that the replica is draining, in seconds.
+        # Kept after its entry was removed, as an old entry may return.
+        self._draining: dict[replicas.Lifetime, float] = {}
         # Ids of replicas whose departure peers announced before the listing.
         self._announced: frozenset[str] = frozenset()
         # Ids whose entries were removed from the listing but are kept here
@@ -71,13 +73,34 @@
                     continue
                 if current.started_at_ms != replica.started_at_ms:
                     ended.append(current)
+                self._inherit_draining(current, replica, read_at)
                 self._remove(current)
             self._add(replica)
         if now >= self._grace_until:
-            ended += self._remove_missing()
+            ended += self._remove_missing(now)
         return ended
 
-    def _remove_missing(self) -> list[replicas.Replica]:
+    def _inherit_draining(
+        self,
+        previous: replicas.Replica,
+        replica: replicas.Replica,
+        read_at: float,
+    ) -> None:
+        """Marks a new run as draining if it was the one that said so.
+
+        It was if it ran already when the store was read, and the response came
+        later from the same address.
+        """
+        marked_at = self._draining.get(previous.lifetime)
+        if (
+            marked_at is not None
+            and marked_at > read_at
+            and previous.address == replica.address
+            and previous.lifetime != replica.lifetime
+        ):
+            self._record_draining(replica.lifetime, marked_at)
+
+    def _remove_missing(self, now: float) -> list[replicas.Replica]:
         expired = [
             self._replicas[replica_id]
             for replica_id in self._missing
@@ -86,6 +109,11 @@
         self._missing.clear()
         for replica in expired:
             self._remove(replica)
+            if not replica.started_at_ms:
+                # A later run could not be told from this one.
+                self._draining.pop(replica.lifetime, None)
+            elif replica.state is replicas.ReplicaState.DRAINING:
+                self._record_draining(replica.lifetime, now)
         return expired
 
     def _add(self, replica: replicas.Replica) -> None:
@@ -95,8 +123,9 @@
         service_replicas = self._by_service.setdefault(replica.service, {})
         service_replicas[replica_id] = replica
         self._usable.pop(replica.service, None)
-        if self._draining.get(replica_id) != replica:
-            self._draining.pop(replica_id, None)
+        if replica.state is replicas.ReplicaState.DRAINING:
+            # From here on its entry tells when it is usable again.
+            self._draining.pop(replica.lifetime, None)
 
     def _remove(self, replica: replicas.Replica) -> None:
         del self._replicas[replica.replica_id]
@@ -107,16 +136,51 @@
             del self._by_service[replica.service]
         self._usable.pop(replica.service, None)
 
-    def mark_draining(self, replica_id: str) -> None:
-        """Stops using a replica that announced that it is draining.
+    def mark_draining(self, replica: replicas.Replica, now: float) -> bool:
+        """Stops using a replica whose response says that it is draining.
+
+        Only this run of the replica is meant, not a later one under its id or
+        address. An entry that was written earlier does not bring it back.
+
+        Args:
+          replica: The replica that the request was sent to.
+          now: Present time in seconds.
 
-        This lasts until its entry in the listing changes, so that a listing
-        that lags behind does not bring it back.
+        Returns:
+          Whether it was still in use.
         """
-        current = self._replicas.get(replica_id)
-        if current is not None:
-            self._draining[replica_id] = current
-            self._usable.pop(current.service, None)
+        current = self._replicas.get(replica.replica_id)
+        was_usable = current is not None and self.is_usable(current)
+        self._record_draining(replica.lifetime, now)
+        # The listing may have shown a new run at this address before its
+        # response arrived.
+        if current is not None and current.address == replica.address:
+            self._record_draining(current.lifetime, now)
+        return was_usable
+
+    def _record_draining(self, lifetime: replicas.Lifetime, at: float) -> None:
+        self._draining.setdefault(lifetime, at)
+        while len(self._draining) > DRAINING_LIFETIMES_MAX:
+            del self._draining[next(iter(self._draining))]
+        replica = self._replicas.get(lifetime.replica_id)
+        if replica is not None:
+            self._usable.pop(replica.service, None)
+
+    def is_usable(self, replica: replicas.Replica) -> bool:
+        """Returns whether a replica still accepts new requests."""
+        current = self._replicas.get(replica.replica_id)
+        return (
+            current is not None
+            and current.lifetime == replica.lifetime
+            and self._accepts_requests(current)
+        )
+
+    def _accepts_requests(self, replica: replicas.Replica) -> bool:
+        return (
+            replica.state is replicas.ReplicaState.READY
+            and replica.lifetime not in self._draining
+            and replica.replica_id not in self._announced
+        )
 
     def set_announced_departures(self, replica_ids: Iterable[str]) -> None:
         """Replaces the replicas that peers announced as leaving or gone."""
@@ -133,12 +197,8 @@
         if usable is None:
             usable = [
                 replica
-                for replica_id, replica in self._by_service.get(
-                    service, {}
-                ).items()
-                if replica.state is replicas.ReplicaState.READY
-                and replica_id not in self._draining
-                and replica_id not in self._announced
+                for replica in self._by_service.get(service, {}).values()
+                if self._accepts_requests(replica)
             ]
             self._usable[service] = usable
         return usable
@@ -168,6 +228,13 @@
         """Returns a known replica by the hash of its id."""
         return self._by_hash.get(replica_hash)
 
+    def count_told_draining(self) -> int:
+        """Returns the listed replicas that only a response calls draining."""
+        return sum(
+            replica.lifetime in self._draining
+            for replica in self._replicas.values()
+        )
+
     def count(self) -> int:
         """Returns the number of known replicas."""
         return len(self._replicas)
