--- a/agatedock/decisions/placement.py
+++ b/agatedock/decisions/placement.py
@@ -85,6 +85,7 @@
         routers.
       count_peers: Returns how many other routers place requests.
       zone: Failure domain of this router.
+      is_paused: Returns whether a replica is to get no requests at a time.
     """
 
     loads: LoadView
@@ -94,6 +95,7 @@
     count_running: Callable[[str], int]
     count_peers: Callable[[], int]
     zone: str
+    is_paused: Callable[[replicas.Replica, float], bool] = lambda *_: False
 
 
 class Basis(enum.StrEnum):
@@ -423,7 +425,11 @@
             return None
         for holder_hash in holders:
             source = view.find_replica(holder_hash)
-            if source is not None and source.service == chosen.service:
+            if (
+                source is not None
+                and source.service == chosen.service
+                and not view.is_paused(source, now)
+            ):
                 return source
     return None
 
--- a/agatedock/diagnosis.py
+++ b/agatedock/diagnosis.py
@@ -148,6 +148,7 @@
     "proof_age_ms",
     "revision",
     "took_ms",
+    "details",
 )
 _UNKNOWN_OUTCOME = "No cause is known for this outcome."
 _OUTCOME_TEMPLATES = {
@@ -182,6 +183,10 @@
     "no_route": "No route matches the request in revision {revision}.",
     "no_upstream": "No replica was left to try after {failures}.",
     "replicas_full": "Every replica tried rejected the request: {failures}.",
+    "replicas_paused": (
+        "All replicas had asked for a pause; look for the event "
+        "replica_notice: {details}."
+    ),
     "overloaded": (
         "The request would have waited too long for its target latency or "
         "timeout."
--- a/agatedock/native/native_dialect.py
+++ b/agatedock/native/native_dialect.py
@@ -236,6 +236,7 @@
         request_errors.ErrorCode.OVERLOADED,
         request_errors.ErrorCode.OVER_SHARE,
         request_errors.ErrorCode.REPLICAS_FULL,
+        request_errors.ErrorCode.REPLICAS_PAUSED,
     }
 )
 
--- a/agatedock/serving/dump.py
+++ b/agatedock/serving/dump.py
@@ -156,6 +156,8 @@
     state = "ready" if replica in usable else "draining"
     if shared.health.is_suspended(replica.replica_id, shared.now()):
         state = "suspended"
+    if shared.pauses.is_paused(replica, shared.now()):
+        state = "paused"
     failure_rate = shared.health.failure_rate(replica.replica_id, shared.now())
     return Upstream(
         name=replica.replica_id,
--- /dev/null
+++ b/agatedock/serving/notices.py
@@ -0,0 +1,83 @@
+"""Heeds what replicas say of themselves in the heads of their responses."""
+
+from __future__ import annotations
+
+import logging
+
+import aiohttp
+
+from agatedock import logs
+from agatedock.decisions import pauses
+from agatedock.domain import replicas
+from agatedock.domain import requests
+from agatedock.serving import dialect
+from agatedock.serving import state
+
+# Characters of a header value that are logged.
+LOGGED_VALUE_CHARS_MAX = 40
+
+_log = logging.getLogger(__name__)
+
+
+def heed_notice(
+    shared: state.SharedState,
+    request: requests.Request,
+    replica: replicas.Replica,
+    response: aiohttp.ClientResponse,
+) -> dialect.Notice:
+    """Stops using a replica for as long as its response asks for.
+
+    Args:
+      shared: Contains the views that are updated.
+      request: The client's request.
+      replica: The replica that the request was sent to.
+      response: The response, with its body not read yet.
+
+    Returns:
+      What the response says.
+    """
+    notice = shared.dialect.parse_notice(
+        request, response.status, response.headers
+    )
+    if notice == dialect.Notice():
+        return notice
+    logs.event(
+        _log,
+        "replica_notice",
+        replica=replica.replica_id,
+        id=request.request_id,
+        status=response.status,
+        draining=notice.draining,
+        retry_after=(notice.retry_after or "")[:LOGGED_VALUE_CHARS_MAX],
+    )
+    now = shared.now()
+    if notice.draining and shared.directory.mark_draining(replica, now):
+        logs.event(
+            _log,
+            "replica_draining",
+            replica=replica.replica_id,
+            id=request.request_id,
+        )
+    if notice.retry_after is not None:
+        pause_s = _read_pause_s(notice.retry_after, request, replica)
+        shared.pauses.record(replica, pause_s, now)
+    return notice
+
+
+def _read_pause_s(
+    value: str, request: requests.Request, replica: replicas.Replica
+) -> float:
+    """Returns a pause in seconds; logs a value that cannot be read."""
+    pause_s = pauses.parse_pause_s(value)
+    if pause_s is not None:
+        return pause_s
+    logs.event(
+        _log,
+        "retry_after_unreadable",
+        logging.WARNING,
+        replica=replica.replica_id,
+        id=request.request_id,
+        value=value[:LOGGED_VALUE_CHARS_MAX],
+        pause_s=pauses.PAUSE_DEFAULT_S,
+    )
+    return pauses.PAUSE_DEFAULT_S
--- a/agatedock/serving/request_errors.py
+++ b/agatedock/serving/request_errors.py
@@ -24,6 +24,7 @@
     OVERLOADED = "overloaded"
     OVER_SHARE = "over_share"
     REPLICAS_FULL = "replicas_full"
+    REPLICAS_PAUSED = "replicas_paused"
     STOPPING = "stopping"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     KEY_REUSED = "key_reused"
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -9,21 +9,20 @@
 
 import asyncio
 import contextlib
-import logging
 
 import aiohttp
 
-from agatedock import logs
 from agatedock.decisions import admission
+from agatedock.decisions import pauses
 from agatedock.decisions import placement
 from agatedock.decisions import retries
 from agatedock.decisions import shares
 from agatedock.domain import configuration
-from agatedock.domain import replicas
 from agatedock.domain import requests
 from agatedock.serving import access_log
 from agatedock.serving import dialect
 from agatedock.serving import downstream
+from agatedock.serving import notices
 from agatedock.serving import placer
 from agatedock.serving import replica_client
 from agatedock.serving import request_errors
@@ -46,8 +45,6 @@
 # Most attempts of one stream that has begun, over all replicas.
 STREAM_ATTEMPTS_MAX = 6
 
-_log = logging.getLogger(__name__)
-
 
 class RequestHandler:
     """Serves one client request.
@@ -263,11 +260,7 @@
         if chosen is None:
             if failure is not None and failure.response is not None:
                 raise _ReplicaResponseError(failure.response)
-            raise request_errors.RequestError(
-                request_errors.ErrorCode.NO_UPSTREAM,
-                f"no replica of {service} is left to try",
-                retry_after_s=admission.NO_REPLICA_RETRY_AFTER_S,
-            )
+            raise self._make_placement_error(service, shared.now())
         # A stream that has begun goes before new requests, so it is resumed
         # without admission control.
         if not self._forwarder.streaming:
@@ -278,6 +271,28 @@
                 raise
         return flow, chosen
 
+    def _make_placement_error(
+        self, service: str, now: float
+    ) -> request_errors.RequestError:
+        """Returns why no replica could be chosen, and when to come back."""
+        usable = self._shared.directory.list_usable(service)
+        available = self._shared.pauses.list_available(usable, now)
+        if available or not usable:
+            return request_errors.RequestError(
+                request_errors.ErrorCode.NO_UPSTREAM,
+                f"no replica of {service} is left to try",
+                retry_after_s=admission.NO_REPLICA_RETRY_AFTER_S,
+            )
+        wait_s = self._shared.pauses.compute_wait_s(usable, now)
+        return request_errors.RequestError(
+            request_errors.ErrorCode.REPLICAS_PAUSED,
+            f"all {len(usable)} replicas of {service} asked for a pause, "
+            f"the first for {wait_s:.2f} s more",
+            retry_after_s=pauses.compute_return_s(
+                wait_s, self._request.request_id
+            ),
+        )
+
     async def _choose_replica(
         self, route: configuration.Route, service: str, now: float
     ) -> placement.Placement | None:
@@ -292,20 +307,22 @@
         shared = self._shared
         replica_placer = placer.Placer(shared.view, shared.reservations)
         while True:
-            task = self._make_task(route, service_config)
+            task = self._make_task(route, service_config, now)
             chosen = await replica_placer.place(task, now)
-            if chosen is None or shared.directory.is_usable(chosen.replica):
+            now = shared.now()
+            if chosen is None or shared.is_available(chosen.replica, now):
                 return chosen
-            # It began to drain while its owner was queried.
+            # It began to drain or to pause while its owner was queried.
             shared.reservations.release(chosen.replica.replica_id)
 
     def _make_task(
         self,
         route: configuration.Route,
         service_config: configuration.Service,
+        now: float,
     ) -> placement.Task:
         """Returns the replicas that the next attempt may go to."""
-        usable = self._shared.directory.list_usable(service_config.name)
+        usable = self._shared.list_available(service_config.name, now)
         tried = frozenset(self._tried_ids)
         # A replica that failed a request, or whose connection broke, may
         # serve it at the second attempt.
@@ -364,7 +381,7 @@
                 shared.occupancy,
                 flow,
                 self._configuration.floors,
-                shared.compute_slot_share(flow.service),
+                shared.compute_slot_share(flow.service, now),
                 now,
             ),
         )
@@ -516,9 +533,15 @@
             )
             now = shared.now()
             shared.health.record_activity(replica.replica_id, now)
-            self._handle_notice(replica, response)
+            notice = notices.heed_notice(
+                shared, self._request, replica, response
+            )
             if kind in _NOT_RUN_KINDS:
                 self._may_have_run = may_have_run_before
+                if kind is dialect.ResponseKind.NOT_RUN and (
+                    notice.retry_after is None
+                ):
+                    shared.health.record_result(replica.replica_id, False, now)
                 return await self._handle_not_run(
                     replica.replica_id, kind, response
                 )
@@ -559,7 +582,6 @@
             return response_forwarder.AttemptFailure(
                 retries.Outcome.MISDIRECTED
             )
-        self._shared.health.record_result(replica_id, False, self._shared.now())
         try:
             # The connection can be reused once the response is read.
             await response.read()
@@ -567,37 +589,6 @@
             response.close()
         return response_forwarder.AttemptFailure(retries.Outcome.NOT_RUN)
 
-    def _handle_notice(
-        self, replica: replicas.Replica, response: aiohttp.ClientResponse
-    ) -> None:
-        """Heeds what a replica says of itself in a response head."""
-        notice = self._shared.dialect.parse_notice(
-            self._request, response.status, response.headers
-        )
-        if notice == dialect.Notice():
-            return
-        logs.event(
-            _log,
-            "replica_notice",
-            replica=replica.replica_id,
-            id=self._request.request_id,
-            status=response.status,
-            draining=notice.draining,
-            retry_after=notice.retry_after,
-        )
-        if notice.draining:
-            self._handle_draining(replica)
-
-    def _handle_draining(self, replica: replicas.Replica) -> None:
-        shared = self._shared
-        if shared.directory.mark_draining(replica, shared.now()):
-            logs.event(
-                _log,
-                "replica_draining",
-                replica=replica.replica_id,
-                id=self._request.request_id,
-            )
-
     def _record_unreachable(self, replica_id: str) -> None:
         self._shared.health.record_unreachable(replica_id, self._shared.now())
 
--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -263,6 +263,9 @@
             ),
             "agatedock_peers": self.shared.routers.count(),
             "agatedock_replicas": self.shared.directory.count(),
+            "agatedock_replicas_paused": self.shared.pauses.count(
+                self.shared.now()
+            ),
             "agatedock_replicas_told_draining": (
                 self.shared.directory.count_told_draining()
             ),
--- a/agatedock/serving/state.py
+++ b/agatedock/serving/state.py
@@ -8,6 +8,7 @@
 
 from agatedock import hashing
 from agatedock.decisions import admission
+from agatedock.decisions import pauses
 from agatedock.decisions import placement
 from agatedock.decisions import retries
 from agatedock.domain import configuration
@@ -56,6 +57,7 @@
       configuration_view: The applied configuration and its age.
       directory: Known replicas.
       loads: Running requests by replica.
+      pauses: Replicas that asked for a pause.
       health: Results of recent requests by replica.
       prefixes: Replicas by the prompt parts in their cache.
       occupancy: This router's running requests by service, rank and account.
@@ -80,6 +82,7 @@
         default_factory=directory.Directory
     )
     loads: loads.Loads = dataclasses.field(default_factory=loads.Loads)
+    pauses: pauses.Pauses = dataclasses.field(default_factory=pauses.Pauses)
     health: health.ReplicaHealth = dataclasses.field(
         default_factory=health.ReplicaHealth
     )
@@ -109,19 +112,33 @@
             count_running=self.count_running,
             count_peers=self.routers.count,
             zone=self.zone,
+            is_paused=self.pauses.is_paused,
+        )
+
+    def list_available(
+        self, service: str, now: float
+    ) -> list[replicas.Replica]:
+        """Returns the replicas of a service that may get requests now."""
+        usable = self.directory.list_usable(service)
+        return self.pauses.list_available(usable, now)
+
+    def is_available(self, replica: replicas.Replica, now: float) -> bool:
+        """Returns whether a replica may get requests now."""
+        return self.directory.is_usable(replica) and not self.pauses.is_paused(
+            replica, now
         )
 
     def count_routers(self) -> int:
         """Returns the number of routers that share the fleet's budgets."""
         return max(retries.ROUTER_COUNT_MIN, 1 + self.routers.count())
 
-    def compute_slot_share(self, service: str) -> float:
+    def compute_slot_share(self, service: str, now: float) -> float:
         """Returns this router's share of the slots of a service.
 
         Routers share the slots in proportion to their running requests.
         """
-        usable = self.directory.list_usable(service)
-        slots = sum(replica.slots for replica in usable)
+        available = self.list_available(service, now)
+        slots = sum(replica.slots for replica in available)
         own_running = self.occupancy.count_service(service)
         return slots * (own_running + 1) / (self.count_running(service) + 1)
 
