Play replicas that drain or pause in the soak, with up to 32 routers

From seed 3000 on the stand-ins say both words, beside all other faults; from 4000 on with 16 to 32 router processes. Two checks from what clients and replicas recorded.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -64,6 +64,7 @@
     """One request and what became of it at the replica.
 
     Attributes:
+      born: Start of the run of the replica that received it.
       received_at: Monotonic time in seconds.
       told_leaving_at: When a response said that the replica is leaving; None if
         none did.
@@ -75,6 +76,7 @@
     target: str
     headers: Mapping[str, str]
     body: bytes
+    born: int = 0
     ran: bool = False
     finished: bool = False
     cancelled: bool = False
@@ -138,7 +140,7 @@
 
     async def _handle(self, raw: web.BaseRequest) -> web.StreamResponse:
         received = ReceivedRequest(
-            raw.method, raw.raw_path, raw.headers, await raw.read()
+            raw.method, raw.raw_path, raw.headers, await raw.read(), self.born
         )
         self.received_requests.append(received)
         expected = raw.headers.get("X-Agatedock-Expect-Replica")
--- a/test/soak.py
+++ b/test/soak.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import os
 import pathlib
@@ -24,15 +26,27 @@
 from standins import replica
 from standins import store
 from test import platform_helper
+from test import soak_notices
 
 ROUTER_COUNT = 3
 # Seeds from here on use a random number of routers in two failure domains, and
 # half of their requests reuse connections.
 FIRST_LARGE_SEED = 1000
 LARGE_ROUTER_COUNTS = (3, 6, 10)
+# Seeds from here on also play replicas that say in their responses that they
+# drain, or ask for a pause.
+FIRST_NOTICE_SEED = 3000
+# Seeds from here on use as many routers as the machine bears.
+FIRST_CROWDED_SEED = 4000
+CROWDED_ROUTER_COUNTS = (16, 24, 32)
 ZONES = ("a", "b")
 REPLICAS_PER_SERVICE = 3
 FAULT_PHASE_S = 7.0
+# No fault begins in the last part of the phase, so that all end within it.
+LAST_FAULT_S = 2.0
+# The same with replicas that drain, which takes longer.
+NOTICE_FAULT_PHASE_S = 14.0
+NOTICE_LAST_FAULT_S = 6.0
 # Load after the fault phase. RECOVERY_TIME_S of it is not checked, which leaves
 # about a second of requests for the served share.
 RECOVERY_PHASE_S = 5.0
@@ -66,6 +80,7 @@
     path: str
     key: str
     sent_at: float
+    router: str = ""
     status: int = 0
     body: bytes = b""
     complete: bool = False
@@ -78,6 +93,9 @@
 
     path: pathlib.Path
     frontend: str
+    disturbances: soak_notices.Disturbances = dataclasses.field(
+        default_factory=soak_notices.Disturbances
+    )
     process: asyncio.subprocess.Process | None = None
     started_at: float = 0.0
 
@@ -89,12 +107,20 @@
         self._random = random.Random(seed)
         # Separate from `_random`, so that the faults of a seed do not change.
         self._topology_random = random.Random(f"shape {seed}")
+        self._seed = seed
         self._large = seed >= FIRST_LARGE_SEED
+        self._has_notices = seed >= FIRST_NOTICE_SEED
+        self._fault_phase_s = FAULT_PHASE_S
+        self._last_fault_s = LAST_FAULT_S
+        if self._has_notices:
+            self._fault_phase_s = NOTICE_FAULT_PHASE_S
+            self._last_fault_s = NOTICE_LAST_FAULT_S
         self._sessions: dict[str, aiohttp.ClientSession] = {}
         self._folder = folder
         self._store = store.Store()
         self._replicas: list[replica.Replica] = []
         self._proxies: list[proxy.Proxy] = []
+        self._link_disturbances: dict[str, soak_notices.Disturbances] = {}
         self._nodes: list[Node] = []
         self._calls: list[Call] = []
         self._revoked_at = float("inf")
@@ -131,20 +157,24 @@
             self._replicas.append(item)
             self._register(item)
         self._configure(API_KEYS)
-        count = (
-            self._topology_random.choice(LARGE_ROUTER_COUNTS)
-            if self._large
-            else ROUTER_COUNT
-        )
-        for number in range(count):
+        for number in range(self._choose_router_count()):
             node = self._write_settings(number, store_proxy.address)
             self._nodes.append(node)
             await self._start_node(node)
 
+    def _choose_router_count(self) -> int:
+        if not self._large:
+            return ROUTER_COUNT
+        counts = LARGE_ROUTER_COUNTS
+        if self._seed >= FIRST_CROWDED_SEED:
+            counts = CROWDED_ROUTER_COUNTS
+        return self._topology_random.choice(counts)
+
     async def _add_proxy(self, address: str) -> proxy.Proxy:
         item = proxy.Proxy(address)
         await item.start()
         self._proxies.append(item)
+        self._link_disturbances[item.address] = soak_notices.Disturbances()
         return item
 
     def _register(self, item: replica.Replica) -> None:
@@ -225,7 +255,8 @@
     async def _send_load(self) -> None:
         began_at = time.monotonic()
         number = 0
-        while time.monotonic() - began_at < FAULT_PHASE_S + RECOVERY_PHASE_S:
+        duration_s = self._fault_phase_s + RECOVERY_PHASE_S
+        while time.monotonic() - began_at < duration_s:
             node = self._random.choice(self._nodes)
             kind = self._random.choice(("chat", "draft", "order", "lookup"))
             number += 1
@@ -242,7 +273,7 @@
     async def _send(self, node: Node, path: str) -> int:
         """Sends one request; returns its status."""
         key = self._random.choice(API_KEYS)
-        call = Call(f"id{path}", path, key, time.monotonic())
+        call = Call(f"id{path}", path, key, time.monotonic(), node.path.stem)
         self._calls.append(call)
         headers = {
             "Host": platform_helper.HOST,
@@ -291,32 +322,62 @@
 
     async def _inject_faults(self) -> None:
         """Injects overlapping faults until the fault phase ends."""
-        ends_at = time.monotonic() + FAULT_PHASE_S
+        ends_at = time.monotonic() + self._fault_phase_s
         running: set[asyncio.Task[None]] = set()
-        while time.monotonic() < ends_at - 2.0:
-            fault = self._random.choice(
-                (
-                    self._fail_link,
-                    self._fail_replica,
-                    self._fail_store,
-                    self._pause_node,
-                    self._kill_node,
-                    self._terminate_node,
-                    self._reload_node,
-                    self._revoke_api_key,
-                )
-            )
+        while time.monotonic() < ends_at - self._last_fault_s:
+            fault = self._random.choice(self._list_faults())
             running.add(asyncio.create_task(fault()))
             await asyncio.sleep(self._random.uniform(0.1, 0.8))
         await asyncio.gather(*running)
         await asyncio.sleep(max(0.0, ends_at - time.monotonic()))
         self._recovered_at = time.monotonic() + RECOVERY_TIME_S
 
+    def _list_faults(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        faults = (
+            self._fail_link,
+            self._fail_replica,
+            self._fail_store,
+            self._pause_node,
+            self._kill_node,
+            self._terminate_node,
+            self._reload_node,
+            self._revoke_api_key,
+        )
+        if self._has_notices:
+            return (*faults, *2 * (self._drain_replica, self._pause_replica))
+        return faults
+
     async def _fail_link(self) -> None:
         item = self._random.choice(self._proxies)
         item.mode = self._random.choice(list(proxy.Mode))
+        began_at = time.monotonic()
         await asyncio.sleep(self._random.uniform(0.2, 1.5))
         item.mode = proxy.Mode.PASS
+        self._link_disturbances[item.address].add(began_at, time.monotonic())
+
+    async def _drain_replica(self) -> None:
+        """Lets a replica say that it drains, until a new run starts.
+
+        Its entry stays as it was, or is written again as ready.
+        """
+        item = self._random.choice(self._replicas)
+        if item.faults.leaving:
+            return
+        item.faults.leaving = True
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        item.slots += self._random.choice((0, 1))
+        self._register(item)
+        await asyncio.sleep(self._random.uniform(2.0, 3.5))
+        item.faults.leaving = False
+        item.born += 1
+        self._register(item)
+
+    async def _pause_replica(self) -> None:
+        """Lets a replica ask for pauses for a moment."""
+        item = self._random.choice(self._replicas)
+        item.faults.retry_after = f"{self._random.uniform(0.8, 3.0):.2f}"
+        await asyncio.sleep(self._random.uniform(0.05, 0.6))
+        item.faults.retry_after = ""
 
     async def _fail_replica(self) -> None:
         item = self._random.choice(self._replicas)
@@ -363,10 +424,12 @@
         if node is None or node.process is None:
             return
         process = node.process
+        began_at = time.monotonic()
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self._random.uniform(0.2, 1.5))
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
+        node.disturbances.add(began_at, time.monotonic())
 
     async def _kill_node(self) -> None:
         await self._restart_node(signal.SIGKILL)
@@ -379,6 +442,7 @@
         if node is None or node.process is None:
             return
         process = node.process
+        began_at = time.monotonic()
         process.send_signal(stop_signal)
         try:
             await asyncio.wait_for(process.wait(), GRACE_S + 0.5)
@@ -390,6 +454,7 @@
         if node.process is process:
             node.process = None
             await self._start_node(node)
+        node.disturbances.add(began_at, time.monotonic())
 
     async def _reload_node(self) -> None:
         node = self._choose_running_node()
@@ -416,8 +481,38 @@
             process = node.process
             if process is None or process.returncode is not None:
                 self._add_violation(f"{node.path.stem} exited unexpectedly")
+        self._check_notices()
         self._check_recovery()
 
+    def _check_notices(self) -> None:
+        calls = {call.request_id: call for call in self._calls}
+        nodes = {node.path.stem: node for node in self._nodes}
+        for item in self._replicas:
+            arrivals = [
+                self._describe_arrival(item, record, calls, nodes)
+                for record in item.received_requests
+                if record.headers["X-Agatedock-Attempt-Id"] in calls
+            ]
+            self.violations += soak_notices.find_violations(item.name, arrivals)
+
+    def _describe_arrival(
+        self,
+        item: replica.Replica,
+        record: replica.ReceivedRequest,
+        calls: dict[str, Call],
+        nodes: dict[str, Node],
+    ) -> soak_notices.Arrival:
+        call = calls[record.headers["X-Agatedock-Attempt-Id"]]
+        was_answered = record.finished and call.complete and call.status == 200
+        return soak_notices.Arrival(
+            record,
+            call.router,
+            call.sent_at,
+            call.sent_at + call.elapsed_s if was_answered else None,
+            nodes[call.router].disturbances,
+            self._link_disturbances[item.address],
+        )
+
     def _check_call(self, call: Call, runs: int) -> None:
         non_idempotent = call.path.startswith(("/order", "/draft"))
         if non_idempotent and runs > 1:
