Log which requests a broken connection ended, with the parts of their prompts

The access log had no parts, and no line told which attempts a crash had ended, at which run of the replica, or whether their answer had begun. No logic changes.

--- a/agatedock/serving/access_log.py
+++ b/agatedock/serving/access_log.py
@@ -7,6 +7,9 @@
 
 from agatedock.decisions import placement
 
+# Characters of the list of a prompt's parts that are logged.
+LOGGED_PARTS_CHARS_MAX = 200
+
 _MS_PER_S = 1000
 
 
@@ -25,6 +28,7 @@
         lacks; empty if there is none.
       unread_tokens: Tokens of the prompt that no known cache of the chosen
         replica or of `fetch_from` holds.
+      parts: Ids of the prompt's parts, in order.
       revision: Revision of the applied configuration.
       proof_age_s: Configuration age: time since the configuration was confirmed
         as newest.
@@ -50,6 +54,7 @@
     refusals: int = 0
     fetch_from: str = ""
     unread_tokens: int = 0
+    parts: tuple[str, ...] = ()
     revision: int = 0
     proof_age_s: float = 0.0
     failures: list[str] = dataclasses.field(default_factory=list)
@@ -89,6 +94,7 @@
             "refusals": self.refusals,
             "fetch_from": self.fetch_from,
             "unread_tokens": self.unread_tokens,
+            "parts": self.format_parts(),
             "revision": self.revision,
             "proof_age_ms": _to_ms(self.proof_age_s),
             "failures": ",".join(self.failures),
@@ -101,6 +107,10 @@
             "took_ms": _to_ms(duration_s),
         }
 
+    def format_parts(self) -> str:
+        """Returns the ids of the prompt's parts for a log line."""
+        return ",".join(self.parts)[:LOGGED_PARTS_CHARS_MAX]
+
     def record_placement(self, chosen: placement.Placement) -> None:
         """Records the chosen replica and the reason."""
         self.replica = chosen.replica.replica_id
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -9,15 +9,18 @@
 
 import asyncio
 import contextlib
+import logging
 
 import aiohttp
 
+from agatedock import logs
 from agatedock.decisions import admission
 from agatedock.decisions import pauses
 from agatedock.decisions import placement
 from agatedock.decisions import retries
 from agatedock.decisions import shares
 from agatedock.domain import configuration
+from agatedock.domain import replicas
 from agatedock.domain import requests
 from agatedock.serving import access_log
 from agatedock.serving import dialect
@@ -45,6 +48,8 @@
 # Most attempts of one stream that has begun, over all replicas.
 STREAM_ATTEMPTS_MAX = 6
 
+_log = logging.getLogger(__name__)
+
 
 class RequestHandler:
     """Serves one client request.
@@ -63,7 +68,10 @@
         self._shared = shared
         self._request = request
         self._client = downstream_client
-        self.log_entry = access_log.AccessLogEntry(request.request_id)
+        self.log_entry = access_log.AccessLogEntry(
+            request.request_id,
+            parts=tuple(part.part_id for part in request.prompt),
+        )
         self.request_error: request_errors.RequestError | None = None
         self._forwarder = response_forwarder.ResponseForwarder(
             shared, request, downstream_client, self.log_entry
@@ -220,9 +228,12 @@
             if account is not configuration.ANONYMOUS:
                 route, account = self._authorize()
             flow, chosen = await self._place(route, account, failure)
+            pieces_before = self.log_entry.chunk_count
             failure = await self._make_attempt(route, flow, chosen, body)
             if failure is None:
                 return
+            if failure.outcome is retries.Outcome.BROKEN:
+                self._log_broken(chosen.replica, pieces_before)
             self.log_entry.failures.append(
                 f"{chosen.replica.replica_id}:{failure.outcome}"
             )
@@ -232,6 +243,22 @@
                 break
         self._raise_final_error(failure)
 
+    def _log_broken(
+        self, replica: replicas.Replica, pieces_before: int
+    ) -> None:
+        """Logs an attempt that ended with its connection."""
+        logs.event(
+            _log,
+            "attempt_broken",
+            logging.WARNING,
+            id=self._request.request_id,
+            replica=replica.replica_id,
+            started_at_ms=replica.started_at_ms,
+            attempt=self._attempt_count,
+            begun=self.log_entry.chunk_count > pieces_before,
+            parts=self.log_entry.format_parts(),
+        )
+
     async def _place(
         self,
         route: configuration.Route,
