--- a/agatedock/diagnosis.py
+++ b/agatedock/diagnosis.py
@@ -27,6 +27,8 @@
         "reader_lost",
         "registration_lost",
         "reloaded",
+        "attempt_broken",
+        "part_probed",
         "replica_draining",
         "replica_gone",
         "replica_notice",
@@ -93,20 +95,27 @@
     return sorted(lines, key=lambda line: line.at)
 
 
+def find_request_lines(lines: list[LogLine], request_id: str) -> list[LogLine]:
+    """Returns the access log lines of a request, one of each router."""
+    return [
+        line
+        for line in lines
+        if line.event == "request" and line.fields.get("id") == request_id
+    ]
+
+
 def find_related_lines(lines: list[LogLine], request_id: str) -> list[LogLine]:
-    """Returns the lines of a request and the related state changes.
+    """Returns all lines with a request's id and the related state changes.
 
     Related are the changes of the same router's local view shortly before,
     during or shortly after the request. A change of a replica counts only if
     the request involved that replica.
     """
-    request_lines = [
-        line for line in lines if line.fields.get("id") == request_id
-    ]
+    request_lines = find_request_lines(lines, request_id)
     window = datetime.timedelta(seconds=RELATED_WINDOW_S)
     related_lines = []
     for line in lines:
-        if line in request_lines or any(
+        if line.fields.get("id") == request_id or any(
             _is_related(line, request_line, window)
             for request_line in request_lines
         ):
@@ -183,6 +192,10 @@
     "no_route": "No route matches the request in revision {revision}.",
     "no_upstream": "No replica was left to try after {failures}.",
     "replicas_full": "Every replica tried rejected the request: {failures}.",
+    "quarantined": (
+        "Replicas crash on a part of the prompt: {details}. Look for the "
+        "event attempt_broken with this part."
+    ),
     "replicas_paused": (
         "All replicas had asked for a pause; look for the event "
         "replica_notice: {details}."
--- a/agatedock/domain/replicas.py
+++ b/agatedock/domain/replicas.py
@@ -42,6 +42,7 @@
       started_at_ms: Unix time of its start in milliseconds; 0 if unknown.
       sequence: Sequence number of this entry; grows with each update of the
         entry and starts again with each start of the replica.
+      version: Version of its software; empty if unknown.
     """
 
     replica_id: str
@@ -52,6 +53,7 @@
     state: ReplicaState
     started_at_ms: int
     sequence: int
+    version: str = ""
 
     @property
     def lifetime(self) -> Lifetime:
--- a/agatedock/hashing.py
+++ b/agatedock/hashing.py
@@ -58,6 +58,14 @@
     return xxhash.xxh32_intdigest(name.encode())
 
 
+def hash_part(part_id: str) -> int:
+    """Returns the 64-bit hash of a prompt part's id.
+
+    It is wide enough that two of the parts in use never share a hash.
+    """
+    return xxhash.xxh3_64_intdigest(part_id.encode())
+
+
 def score_ids(key_hash: int, name_hash: int) -> int:
     """Returns the 64-bit weight of a name for a key, both as 32-bit hashes."""
     return xxhash.xxh3_64_intdigest(struct.pack("<II", key_hash, name_hash))
--- a/agatedock/metrics.py
+++ b/agatedock/metrics.py
@@ -22,6 +22,10 @@
             "agatedock_placements",
             "Requests placed, by service and by what said that there is room.",
         )
+        self.quarantined = self._add_counter(
+            "agatedock_quarantined_requests",
+            "Requests refused as their prompt crashes replicas, by part.",
+        )
         self.answer_s = aioprometheus.Histogram(
             "agatedock_answer_seconds",
             "Seconds from a request to the end of its answer, by service.",
--- a/agatedock/peers/messages.py
+++ b/agatedock/peers/messages.py
@@ -131,8 +131,65 @@
     replica_hashes: list[int]
 
 
+class CrashReport(msgspec.Struct, array_like=True, frozen=True):
+    """The end of a run of a replica.
+
+    Attributes:
+      run_hash: Hash of the run.
+      version_hash: Hash of the version of its software.
+      age_ms: Time since it ended, when the message was sent.
+    """
+
+    run_hash: int
+    version_hash: int
+    age_ms: int
+
+
+class BeginReport(msgspec.Struct, array_like=True, frozen=True):
+    """The latest begin of an answer on a prompt part.
+
+    Attributes:
+      version_hash: Hash of the version of the replica's software.
+      age_ms: Time since then, when the message was sent.
+    """
+
+    version_hash: int
+    age_ms: int
+
+
+class PartReport(msgspec.Struct, array_like=True, frozen=True):
+    """Evidence that a prompt part crashes replicas, or that it does not.
+
+    Attributes:
+      part_hash: 64-bit hash of the part's id.
+      crashes: Crashes that the part may have caused.
+      begins: Answers on the part.
+    """
+
+    part_hash: int
+    crashes: list[CrashReport]
+    begins: list[BeginReport]
+
+
+class CrashEvidence(msgspec.Struct, array_like=True, frozen=True, tag=7):
+    """Evidence about prompt parts, sent to random peers.
+
+    Attributes:
+      parts: The parts with news, or those with the most crashes.
+    """
+
+    parts: list[PartReport]
+
+
 Reply = ReservationReply | PartHolders
-Message = GossipMessage | Reservation | PartLookup | Departures | Reply
+Message = (
+    GossipMessage
+    | Reservation
+    | PartLookup
+    | Departures
+    | CrashEvidence
+    | Reply
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/agatedock/peers/reservations.py
+++ b/agatedock/peers/reservations.py
@@ -245,6 +245,11 @@
                 self._pending_replies.pop(reply.sequence), reply
             )
 
+    def owns(self, name_hash: int) -> bool:
+        """Returns whether this router owns a name among the live routers."""
+        owner = self._queries.find_owner(name_hash, self._now())
+        return owner == self._peers.router_hash
+
     def is_owner_responsive(self, replica_id: str) -> bool:
         """Returns whether no reply of a count's owner is overdue.
 
--- a/agatedock/serving/access_log.py
+++ b/agatedock/serving/access_log.py
@@ -7,6 +7,8 @@
 
 from agatedock.decisions import placement
 
+# Characters of one part's id that are logged.
+LOGGED_PART_CHARS_MAX = 40
 # Characters of the list of a prompt's parts that are logged.
 LOGGED_PARTS_CHARS_MAX = 200
 
@@ -36,6 +38,8 @@
       outcome: Result of the request; `client_left` until another is set, as a
         client that disconnects ends the work at any point.
       details: Why the router itself failed or rejected the request.
+      quarantined_part: Prompt part for which the request was refused; empty if
+        it was not.
       chunk_count: Chunks of the stream so far.
       first_chunk_at: Time of the first chunk, in seconds.
       last_chunk_at: Time of the latest chunk, in seconds.
@@ -60,6 +64,7 @@
     failures: list[str] = dataclasses.field(default_factory=list)
     outcome: str = "client_left"
     details: str = ""
+    quarantined_part: str = ""
     status: int = 0
     chunk_count: int = 0
     first_chunk_at: float = 0.0
--- a/agatedock/serving/reporter.py
+++ b/agatedock/serving/reporter.py
@@ -55,6 +55,8 @@
             self._meters.placements.inc(
                 {"service": log_entry.service, "basis": log_entry.basis}
             )
+        if log_entry.quarantined_part:
+            self._meters.quarantined.inc({"part": log_entry.quarantined_part})
         self._meters.answer_s.observe(
             {"service": log_entry.service}, duration_s
         )
--- a/agatedock/serving/request_errors.py
+++ b/agatedock/serving/request_errors.py
@@ -25,6 +25,7 @@
     OVER_SHARE = "over_share"
     REPLICAS_FULL = "replicas_full"
     REPLICAS_PAUSED = "replicas_paused"
+    QUARANTINED = "quarantined"
     STOPPING = "stopping"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     KEY_REUSED = "key_reused"
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -9,11 +9,9 @@
 
 import asyncio
 import contextlib
-import logging
 
 import aiohttp
 
-from agatedock import logs
 from agatedock.decisions import admission
 from agatedock.decisions import pauses
 from agatedock.decisions import placement
@@ -23,6 +21,7 @@
 from agatedock.domain import replicas
 from agatedock.domain import requests
 from agatedock.serving import access_log
+from agatedock.serving import crash_guard
 from agatedock.serving import dialect
 from agatedock.serving import downstream
 from agatedock.serving import notices
@@ -48,8 +47,6 @@
 # Most attempts of one stream that has begun, over all replicas.
 STREAM_ATTEMPTS_MAX = 6
 
-_log = logging.getLogger(__name__)
-
 
 class RequestHandler:
     """Serves one client request.
@@ -73,8 +70,9 @@
             parts=tuple(part.part_id for part in request.prompt),
         )
         self.request_error: request_errors.RequestError | None = None
+        self._guard = crash_guard.CrashGuard(shared, request, self.log_entry)
         self._forwarder = response_forwarder.ResponseForwarder(
-            shared, request, downstream_client, self.log_entry
+            shared, request, downstream_client, self.log_entry, self._guard
         )
         self._tried_ids: set[str] = set()
         # Replicas that may have received the request, and the number of
@@ -228,12 +226,13 @@
             if account is not configuration.ANONYMOUS:
                 route, account = self._authorize()
             flow, chosen = await self._place(route, account, failure)
-            pieces_before = self.log_entry.chunk_count
             failure = await self._make_attempt(route, flow, chosen, body)
             if failure is None:
                 return
-            if failure.outcome is retries.Outcome.BROKEN:
-                self._log_broken(chosen.replica, pieces_before)
+            if failure.connection_lost:
+                self._guard.record_lost_connection(
+                    self._attempt_count, self._shared.now()
+                )
             self.log_entry.failures.append(
                 f"{chosen.replica.replica_id}:{failure.outcome}"
             )
@@ -243,22 +242,6 @@
                 break
         self._raise_final_error(failure)
 
-    def _log_broken(
-        self, replica: replicas.Replica, pieces_before: int
-    ) -> None:
-        """Logs an attempt that ended with its connection."""
-        logs.event(
-            _log,
-            "attempt_broken",
-            logging.WARNING,
-            id=self._request.request_id,
-            replica=replica.replica_id,
-            started_at_ms=replica.started_at_ms,
-            attempt=self._attempt_count,
-            begun=self.log_entry.chunk_count > pieces_before,
-            parts=self.log_entry.format_parts(),
-        )
-
     async def _place(
         self,
         route: configuration.Route,
@@ -349,7 +332,8 @@
         now: float,
     ) -> placement.Task:
         """Returns the replicas that the next attempt may go to."""
-        usable = self._shared.list_available(service_config.name, now)
+        available = self._shared.list_available(service_config.name, now)
+        usable = self._guard.select_safe(available, now)
         tried = frozenset(self._tried_ids)
         # A replica that failed a request, or whose connection broke, may
         # serve it at the second attempt.
@@ -532,6 +516,7 @@
         self._reached_ids.add(replica.replica_id)
         self._attempt_count += 1
         self._head_received = False
+        self._guard.begin_attempt(replica)
         # The request may run from here on, unless the replica says otherwise.
         self._may_have_run = True
         try:
@@ -551,37 +536,56 @@
                 if newly_reached:
                     self._attempt_count -= 1
                     self._reached_ids.discard(replica.replica_id)
-            return response_forwarder.AttemptFailure(error.outcome)
+            return response_forwarder.AttemptFailure(
+                error.outcome,
+                connection_lost=error.outcome is retries.Outcome.BROKEN,
+            )
         self._head_received = True
         # Closing keeps a partly read connection from being reused.
         with contextlib.closing(response):
-            kind = shared.dialect.classify_response(
-                self._request, response.status, response.headers
-            )
-            now = shared.now()
-            shared.health.record_activity(replica.replica_id, now)
-            notice = notices.heed_notice(
-                shared, self._request, replica, response
+            failure = await self._handle_response(route, replica, response)
+        if failure is not None and (
+            failure.outcome in retries.CERTAINLY_NOT_RUN
+        ):
+            self._may_have_run = may_have_run_before
+        return failure
+
+    async def _handle_response(
+        self,
+        route: configuration.Route,
+        replica: replicas.Replica,
+        response: aiohttp.ClientResponse,
+    ) -> response_forwarder.AttemptFailure | None:
+        """Forwards a response unless it is a rejection or invalid."""
+        shared = self._shared
+        kind = shared.dialect.classify_response(
+            self._request, response.status, response.headers
+        )
+        now = shared.now()
+        shared.health.record_activity(replica.replica_id, now)
+        if kind in _KINDS_OF_THE_REPLICA:
+            self._guard.record_head(now)
+        notice = notices.heed_notice(shared, self._request, replica, response)
+        if kind is dialect.ResponseKind.MISDIRECTED:
+            # Another replica now has the address; the next listing shows it.
+            self._record_unreachable(replica.replica_id)
+            return response_forwarder.AttemptFailure(
+                retries.Outcome.MISDIRECTED
             )
-            if kind in _NOT_RUN_KINDS:
-                self._may_have_run = may_have_run_before
-                if kind is dialect.ResponseKind.NOT_RUN and (
-                    notice.retry_after is None
-                ):
-                    shared.health.record_result(replica.replica_id, False, now)
-                return await self._handle_not_run(
-                    replica.replica_id, kind, response
-                )
-            if kind is dialect.ResponseKind.INVALID:
+        if kind is dialect.ResponseKind.NOT_RUN:
+            if notice.retry_after is None:
                 shared.health.record_result(replica.replica_id, False, now)
-                return response_forwarder.AttemptFailure(retries.Outcome.BROKEN)
-            return await self._forwarder.forward_response(
-                route,
-                replica.replica_id,
-                kind,
-                response,
-                self._get_response_timeout_s(route),
-            )
+            return await self._read_rejection(response)
+        if kind is dialect.ResponseKind.INVALID:
+            shared.health.record_result(replica.replica_id, False, now)
+            return response_forwarder.AttemptFailure(retries.Outcome.BROKEN)
+        return await self._forwarder.forward_response(
+            route,
+            replica.replica_id,
+            kind,
+            response,
+            self._get_response_timeout_s(route),
+        )
 
     def _get_response_timeout_s(
         self, route: configuration.Route
@@ -596,21 +600,11 @@
             HEAD_TIMEOUT_MIN_S, HEAD_TIMEOUT_FACTOR * route.target_latency_s
         )
 
-    async def _handle_not_run(
-        self,
-        replica_id: str,
-        kind: dialect.ResponseKind,
-        response: aiohttp.ClientResponse,
+    async def _read_rejection(
+        self, response: aiohttp.ClientResponse
     ) -> response_forwarder.AttemptFailure:
-        """Records that a replica did not run the request."""
-        if kind is dialect.ResponseKind.MISDIRECTED:
-            # Another replica now has the address; the next listing shows it.
-            self._record_unreachable(replica_id)
-            return response_forwarder.AttemptFailure(
-                retries.Outcome.MISDIRECTED
-            )
+        """Reads a rejection, so that its connection can be reused."""
         try:
-            # The connection can be reused once the response is read.
             await response.read()
         except aiohttp.ClientError:
             response.close()
@@ -620,12 +614,11 @@
         self._shared.health.record_unreachable(replica_id, self._shared.now())
 
 
-_NOT_RUN_KINDS = frozenset(
-    {
-        dialect.ResponseKind.NOT_RUN,
-        dialect.ResponseKind.MISDIRECTED,
-    }
-)
+# Responses that come from the replica that the request was sent to.
+_KINDS_OF_THE_REPLICA = frozenset(dialect.ResponseKind) - {
+    dialect.ResponseKind.MISDIRECTED,
+    dialect.ResponseKind.INVALID,
+}
 
 
 class _ReplicaResponseError(request_errors.RequestError):
--- a/agatedock/serving/response_forwarder.py
+++ b/agatedock/serving/response_forwarder.py
@@ -11,6 +11,7 @@
 from agatedock.domain import configuration
 from agatedock.domain import requests
 from agatedock.serving import access_log
+from agatedock.serving import crash_guard
 from agatedock.serving import dialect
 from agatedock.serving import downstream
 from agatedock.serving import sse
@@ -28,10 +29,12 @@
       outcome: How the attempt failed.
       response: The replica's error response, which is forwarded if the request
         is not retried.
+      connection_lost: Whether the connection ended before the response did.
     """
 
     outcome: retries.Outcome
     response: dialect.Response | None = None
+    connection_lost: bool = False
 
 
 class ResponseForwarder:
@@ -51,7 +54,9 @@
         request: requests.Request,
         client: downstream.Downstream,
         log_entry: access_log.AccessLogEntry,
+        guard: crash_guard.CrashGuard,
     ) -> None:
+        self._guard = guard
         self._shared = shared
         self._request = request
         self._client = client
@@ -112,7 +117,8 @@
             return AttemptFailure(retries.Outcome.TIMED_OUT)
         except (aiohttp.ClientError, OSError):
             self._record_unreachable(replica_id)
-            return AttemptFailure(retries.Outcome.BROKEN)
+            return AttemptFailure(retries.Outcome.BROKEN, connection_lost=True)
+        self._guard.record_data(shared.now())
         is_success = kind is dialect.ResponseKind.SUCCESS
         shared.health.record_result(replica_id, is_success, shared.now())
         headers = shared.dialect.build_response_headers(
@@ -162,7 +168,12 @@
             except TimeoutError:
                 self._record_unreachable(replica_id)
                 return AttemptFailure(retries.Outcome.TIMED_OUT)
-            except (aiohttp.ClientError, OSError, sse.InvalidStreamError):
+            except (aiohttp.ClientError, OSError):
+                self._record_unreachable(replica_id)
+                return AttemptFailure(
+                    retries.Outcome.BROKEN, connection_lost=True
+                )
+            except sse.InvalidStreamError:
                 self._record_unreachable(replica_id)
                 return AttemptFailure(retries.Outcome.BROKEN)
             if batch.data:
@@ -175,7 +186,7 @@
             end_marker
         ):
             self._record_unreachable(replica_id)
-            return AttemptFailure(retries.Outcome.BROKEN)
+            return AttemptFailure(retries.Outcome.BROKEN, connection_lost=True)
         self._shared.health.record_result(replica_id, True, self._shared.now())
         self._log_entry.outcome = "answered"
         await self._client.end_stream()
@@ -207,7 +218,9 @@
         await self._client.start_stream(response.status, headers)
 
     async def _write_batch(self, batch: sse.Batch) -> None:
-        self._log_entry.record_chunk(self._shared.now())
+        now = self._shared.now()
+        self._log_entry.record_chunk(now)
+        self._guard.record_data(now)
         self.last_event_id = batch.last_id or self.last_event_id
         self._last_batch = batch.data
         if self._shared.dialect.needs_delivered_events:
--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -19,6 +19,7 @@
 from agatedock import metrics
 from agatedock.domain import requests
 from agatedock.peers import endpoint
+from agatedock.peers import evidence_exchange
 from agatedock.peers import followers
 from agatedock.peers import gossip
 from agatedock.peers import listings
@@ -128,6 +129,12 @@
             self.shared.loads,
             self.shared.now,
         )
+        self._evidence_exchange = evidence_exchange.EvidenceExchange(
+            self.endpoint,
+            self.gossip,
+            self.shared.crash_evidence,
+            self.shared.now,
+        )
         self._listing_client = relay.ListingClient()
         self.follower = followers.Follower(
             dependencies.source,
@@ -178,6 +185,7 @@
             self.follower.run,
             self.gossip.run,
             self.shared.reservations.run,
+            self._evidence_exchange.run,
         )
         for run_task in (*own_tasks, *extra_tasks):
             self._tasks.append(asyncio.create_task(run_with_restart(run_task)))
@@ -263,6 +271,9 @@
             ),
             "agatedock_peers": self.shared.routers.count(),
             "agatedock_replicas": self.shared.directory.count(),
+            "agatedock_suspect_parts": len(
+                self.shared.crash_evidence.list_parts()
+            ),
             "agatedock_replicas_paused": self.shared.pauses.count(
                 self.shared.now()
             ),
--- a/agatedock/serving/state.py
+++ b/agatedock/serving/state.py
@@ -10,6 +10,7 @@
 from agatedock.decisions import admission
 from agatedock.decisions import pauses
 from agatedock.decisions import placement
+from agatedock.decisions import quarantine
 from agatedock.decisions import retries
 from agatedock.domain import configuration
 from agatedock.domain import replicas
@@ -18,6 +19,7 @@
 from agatedock.serving import dialect
 from agatedock.serving import replica_client
 from agatedock.views import configuration_view
+from agatedock.views import crash_evidence
 from agatedock.views import directory
 from agatedock.views import health
 from agatedock.views import loads
@@ -58,6 +60,8 @@
       directory: Known replicas.
       loads: Running requests by replica.
       pauses: Replicas that asked for a pause.
+      crash_evidence: Prompt parts that may have crashed replicas.
+      probes: Requests that tried a quarantined part again.
       health: Results of recent requests by replica.
       prefixes: Replicas by the prompt parts in their cache.
       occupancy: This router's running requests by service, rank and account.
@@ -83,6 +87,12 @@
     )
     loads: loads.Loads = dataclasses.field(default_factory=loads.Loads)
     pauses: pauses.Pauses = dataclasses.field(default_factory=pauses.Pauses)
+    crash_evidence: crash_evidence.CrashEvidence = dataclasses.field(
+        default_factory=crash_evidence.CrashEvidence
+    )
+    probes: quarantine.Probes = dataclasses.field(
+        default_factory=quarantine.Probes
+    )
     health: health.ReplicaHealth = dataclasses.field(
         default_factory=health.ReplicaHealth
     )
--- a/agatedock/ui/inspection.py
+++ b/agatedock/ui/inspection.py
@@ -43,9 +43,7 @@
         )
     else:
         lines = common.run_coroutine(_collect_lines(command))
-    request_lines = [
-        line for line in lines if line.fields.get("id") == command.request_id
-    ]
+    request_lines = diagnosis.find_request_lines(lines, command.request_id)
     if not request_lines:
         raise common.ExitError(
             common.EXIT_FAILED, f"no record of request {command.request_id!r}"
--- /dev/null
+++ b/agatedock/views/crash_evidence.py
@@ -0,0 +1,315 @@
+"""What is known about replicas that crashed, by part of the prompts they read.
+
+When a replica crashes, each request there whose answer had not begun may be the
+cause, by any part of its prompt but the last, which no other request has. A
+part is cleared by an answer that begins on it. A crash is disproved if the same
+run of the replica sends data later.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+from agatedock import hashing
+from agatedock.domain import replicas
+from agatedock.domain import requests
+
+# Parts with evidence that are remembered; those with the fewest and oldest
+# crashes are dropped first.
+PARTS_MAX = 500
+# Crashes that are remembered of each part, the latest ones.
+CRASHES_PER_PART_MAX = 16
+# Parts of one prompt that are considered, the first ones.
+PARTS_PER_PROMPT_MAX = 64
+# Evidence is dropped if there was no crash and no refusal for this long.
+EXPIRY_S = 3600.0
+# A part that was cleared is kept for this long, until all routers know.
+CLEARED_EXPIRY_S = 10.0
+# An answer that began this long before a crash also clears its parts.
+CLEARED_BEFORE_S = 1.0
+# Data that arrives in this interval after the end of a connection disproves a
+# crash. Earlier, data may be read that was received before; later, another run
+# that is not listed yet may answer for the one that crashed.
+DISPROVED_AFTER_S = 0.15
+DISPROVED_UNTIL_S = 2.0
+# Parts and runs whose latest begin and latest data are remembered.
+BEGINS_MAX = 2000
+RUNS_MAX = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """The end of a run of a replica.
+
+    Attributes:
+      run_hash: Hash of the run.
+      version_hash: Hash of the version of its software.
+      at: When it ended, in seconds of this router's clock.
+    """
+
+    run_hash: int
+    version_hash: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartEvidence:
+    """What is known of one part, as routers tell each other.
+
+    Attributes:
+      part_hash: Hash of the part's id.
+      crashes: Crashes of replicas that may have been caused by it.
+      begun_at: When an answer on it last began, in seconds, by hash of the
+        version of the replica's software.
+    """
+
+    part_hash: int
+    crashes: tuple[Crash, ...]
+    begun_at: Mapping[int, float]
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    crashes: dict[int, Crash] = dataclasses.field(default_factory=dict)
+    begun_at: dict[int, float] = dataclasses.field(default_factory=dict)
+    used_at: float = 0.0
+
+
+def hash_parts(request: requests.Request) -> tuple[int, ...]:
+    """Returns the hashes of the parts that may crash a replica."""
+    return tuple(
+        hashing.hash_part(part.part_id)
+        for part in request.prompt[:-1][:PARTS_PER_PROMPT_MAX]
+    )
+
+
+def hash_run(replica: replicas.Replica) -> int:
+    """Returns the hash of a run of a replica."""
+    lifetime = replica.lifetime
+    return hashing.hash_name(
+        f"{lifetime.replica_id} {lifetime.started_at_ms} {lifetime.address}"
+    )
+
+
+class CrashEvidence:
+    """Crashes by prompt part, merged from all routers.
+
+    Attributes:
+      changed_parts: Hashes of the parts with news for other routers; whoever
+        tells them removes the hashes.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[int, _Record] = {}
+        self._begun_at: collections.OrderedDict[tuple[int, int], float] = (
+            collections.OrderedDict()
+        )
+        # Latest data of each run, and the end of each run that crashed.
+        self._active_at: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self._crashed_at: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self._disproved_runs: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self.changed_parts: set[int] = set()
+
+    def record_activity(self, run_hash: int, now: float) -> None:
+        """Records that a run of a replica sent data."""
+        _remember(self._active_at, run_hash, now, RUNS_MAX)
+        if run_hash in self._crashed_at:
+            self._check_crash(run_hash)
+
+    def _check_crash(self, run_hash: int) -> None:
+        """Disproves a crash if the run sent data after it."""
+        crashed_at = self._crashed_at[run_hash]
+        active_at = self._active_at.get(run_hash, float("-inf"))
+        elapsed_s = active_at - crashed_at
+        if DISPROVED_AFTER_S < elapsed_s <= DISPROVED_UNTIL_S:
+            _remember(self._disproved_runs, run_hash, active_at, RUNS_MAX)
+
+    def record_begin(
+        self, part_hashes: Iterable[int], version: str, now: float
+    ) -> None:
+        """Records that an answer began.
+
+        Args:
+          part_hashes: The parts of the request's prompt.
+          version: Version of the replica's software.
+          now: Present time in seconds.
+        """
+        version_hash = hashing.hash_name(version)
+        for part_hash in part_hashes:
+            key = part_hash, version_hash
+            _remember(self._begun_at, key, now, BEGINS_MAX)
+            if part_hash in self._records:
+                self._clear(part_hash, version_hash, now)
+
+    def record_crash(
+        self,
+        part_hashes: Iterable[int],
+        replica: replicas.Replica,
+        now: float,
+    ) -> None:
+        """Records that a request's connection ended before its answer began.
+
+        Args:
+          part_hashes: The parts of the request's prompt.
+          replica: The replica that it was sent to.
+          now: Present time in seconds.
+        """
+        version_hash = hashing.hash_name(replica.version)
+        crash = Crash(hash_run(replica), version_hash, now)
+        for part_hash in part_hashes:
+            self._add_crash(part_hash, crash, now)
+        self._limit_records()
+
+    def record_refusal(self, part_hash: int, now: float) -> None:
+        """Records that a request with a part was refused."""
+        record = self._records.get(part_hash)
+        if record is not None:
+            record.used_at = now
+
+    def merge(self, news: Iterable[PartEvidence], now: float) -> None:
+        """Merges evidence from another router."""
+        for evidence in news:
+            for crash in evidence.crashes:
+                self._add_crash(evidence.part_hash, crash, now)
+            for version_hash, at in evidence.begun_at.items():
+                self._merge_begin(evidence.part_hash, version_hash, at)
+        self._limit_records()
+
+    def _merge_begin(
+        self, part_hash: int, version_hash: int, at: float
+    ) -> None:
+        key = part_hash, version_hash
+        if at > self._begun_at.get(key, float("-inf")):
+            _remember(self._begun_at, key, at, BEGINS_MAX)
+        if part_hash in self._records:
+            self._clear(part_hash, version_hash, at)
+
+    def _add_crash(self, part_hash: int, crash: Crash, now: float) -> None:
+        version_hash = crash.version_hash
+        record = self._records.get(part_hash)
+        known = None if record is None else record.crashes.get(crash.run_hash)
+        # Another router may have noticed the same crash earlier.
+        if known is not None and known.at <= crash.at:
+            return
+        begun_at = self._begun_at.get((part_hash, version_hash))
+        if record is not None:
+            begun_at = max(
+                begun_at or float("-inf"),
+                record.begun_at.get(version_hash, float("-inf")),
+            )
+        if begun_at is not None and crash.at <= begun_at + CLEARED_BEFORE_S:
+            if begun_at >= crash.at:
+                # The router that told of the crash does not know of the begin.
+                self._note_begin(part_hash, version_hash, begun_at, now)
+            return
+        if record is None:
+            record = self._records[part_hash] = _Record()
+        record.crashes[crash.run_hash] = crash
+        _remember(self._crashed_at, crash.run_hash, crash.at, RUNS_MAX)
+        self._check_crash(crash.run_hash)
+        record.used_at = max(record.used_at, now)
+        while len(record.crashes) > CRASHES_PER_PART_MAX:
+            oldest = min(record.crashes.values(), key=lambda item: item.at)
+            del record.crashes[oldest.run_hash]
+        if known is None:
+            self.changed_parts.add(part_hash)
+
+    def _note_begin(
+        self, part_hash: int, version_hash: int, begun_at: float, now: float
+    ) -> None:
+        record = self._records.setdefault(part_hash, _Record())
+        record.used_at = max(record.used_at, now)
+        if record.begun_at.get(version_hash, float("-inf")) < begun_at:
+            record.begun_at[version_hash] = begun_at
+            self.changed_parts.add(part_hash)
+
+    def _clear(self, part_hash: int, version_hash: int, at: float) -> None:
+        """Removes the crashes of a part that an answer disproves."""
+        record = self._records[part_hash]
+        cleared = [
+            crash.run_hash
+            for crash in record.crashes.values()
+            if crash.version_hash == version_hash
+            and crash.at <= at + CLEARED_BEFORE_S
+        ]
+        for run_hash in cleared:
+            del record.crashes[run_hash]
+        if cleared:
+            record.begun_at[version_hash] = at
+            self.changed_parts.add(part_hash)
+
+    def has_begun(self, part_hash: int, version_hash: int) -> bool:
+        """Returns whether an answer on a part is known to have begun."""
+        return (part_hash, version_hash) in self._begun_at
+
+    def list_crashed_runs(
+        self, part_hash: int, version_hash: int
+    ) -> frozenset[int]:
+        """Returns the hashes of the runs that a part may have crashed."""
+        return frozenset(
+            crash.run_hash
+            for crash in self.list_crashes(part_hash)
+            if crash.version_hash == version_hash
+        )
+
+    def list_crashes(self, part_hash: int) -> list[Crash]:
+        """Returns the crashes of a part that are not disproved."""
+        record = self._records.get(part_hash)
+        if record is None:
+            return []
+        return [
+            crash
+            for crash in record.crashes.values()
+            if crash.run_hash not in self._disproved_runs
+        ]
+
+    def list_parts(self) -> list[int]:
+        """Returns the hashes of all parts with evidence."""
+        return list(self._records)
+
+    def describe(self, part_hash: int) -> PartEvidence | None:
+        """Returns what other routers are told of a part; None if nothing."""
+        record = self._records.get(part_hash)
+        if record is None:
+            return None
+        return PartEvidence(
+            part_hash,
+            tuple(self.list_crashes(part_hash)),
+            dict(record.begun_at),
+        )
+
+    def drop_expired(self, now: float) -> None:
+        """Removes evidence that was not used, and parts that were cleared."""
+        for part_hash, record in list(self._records.items()):
+            limit_s = EXPIRY_S if record.crashes else CLEARED_EXPIRY_S
+            if now - record.used_at > limit_s:
+                del self._records[part_hash]
+
+    def _limit_records(self) -> None:
+        if len(self._records) <= PARTS_MAX:
+            return
+        ranked = sorted(
+            self._records.items(),
+            key=lambda item: (len(item[1].crashes), item[1].used_at),
+        )
+        for part_hash, _ in ranked[: len(ranked) - PARTS_MAX]:
+            del self._records[part_hash]
+
+
+def _remember(
+    times: collections.OrderedDict, key: object, now: float, limit: int
+) -> None:
+    """Sets the time of a key; drops the key that was set longest ago."""
+    times[key] = now
+    times.move_to_end(key)
+    if len(times) > limit:
+        times.popitem(last=False)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
 import dataclasses
@@ -44,6 +45,8 @@
       leaving: All responses say that the replica is leaving.
       retry_after: Every request is rejected as not executed, with this value
         of Retry-After; empty for none.
+      deadly_part: Id of a prompt part on which the replica crashes when it
+        begins to write an answer; empty for none.
     """
 
     shed: bool = False
@@ -57,6 +60,7 @@
     unframed: bool = False
     leaving: bool = False
     retry_after: str = ""
+    deadly_part: str = ""
 
 
 @dataclasses.dataclass
@@ -93,6 +97,7 @@
         self.name = name
         self.service = service
         self.zone = zone
+        self.version = "v1"
         self.slots = 8
         self.faults = Faults()
         self.received_requests: list[ReceivedRequest] = []
@@ -100,22 +105,52 @@
         self.events = 5
         self.gap_s = 0.01
         self._runner: web.ServerRunner | None = None
+        # `address` is the one in its entry, which may be that of a proxy.
         self.address = ""
+        self.listen_address = ""
         self._sequence = 0
         self.born = 1_700_000_000_000
+        # Called after each crash, when a new run has started.
+        self.on_restart: Callable[[Replica], None] | None = None
+        self.down_s = 1.5
+        self.crashes: list[float] = []
+        self._connections: set[asyncio.Transport] = set()
+        self._restart_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listens on a free port of the loopback address."""
         self._runner, self.address = await runner.listen(
             web.Server(self._handle, handler_cancellation=True)
         )
+        self.listen_address = self.address
 
     async def stop(self) -> None:
         """Stops listening and closes all connections."""
+        if self._restart_task is not None:
+            self._restart_task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
             self._runner = None
 
+    def crash(self) -> None:
+        """Resets all connections, and starts a new run a while later."""
+        self.crashes.append(time.monotonic())
+        for transport in self._connections:
+            _reset_transport(transport)
+        self._connections.clear()
+        self._restart_task = asyncio.create_task(self._restart())
+
+    async def _restart(self) -> None:
+        assert self._runner is not None
+        for site in list(self._runner.sites):
+            await site.stop()
+        await asyncio.sleep(self.down_s)
+        self.born += 1
+        host, _, port = self.listen_address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        if self.on_restart is not None:
+            self.on_restart(self)
+
     @property
     def runs(self) -> list[ReceivedRequest]:
         """Returns the requests that ran here."""
@@ -129,7 +164,7 @@
                 "Service": self.service,
                 "Address": self.address,
                 "Zone": self.zone,
-                "Version": "v1",
+                "Version": self.version,
                 "Slots": self.slots,
                 "State": state,
                 "ColdRemainingMs": 0,
@@ -143,6 +178,8 @@
             raw.method, raw.raw_path, raw.headers, await raw.read(), self.born
         )
         self.received_requests.append(received)
+        if isinstance(raw.transport, asyncio.Transport):
+            self._connections.add(raw.transport)
         expected = raw.headers.get("X-Agatedock-Expect-Replica")
         if expected not in (None, self.name):
             return self._make_response(
@@ -232,6 +269,9 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(raw)
+        if self._is_deadly(raw):
+            self.crash()
+            return response
         first = int(raw.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.events + 1):
             if self.faults.cut_after == number - first:
@@ -246,6 +286,11 @@
         received.finished = True
         return response
 
+    def _is_deadly(self, raw: web.BaseRequest) -> bool:
+        prompt = raw.headers.get("X-Agatedock-Prompt-Prefix", "")
+        part_ids = [item.partition(":")[0] for item in prompt.split(",")]
+        return self.faults.deadly_part in part_ids
+
     async def _respond_unframed(
         self, raw: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
@@ -266,8 +311,13 @@
 
 def _reset(raw: web.BaseRequest) -> None:
     """Closes the connection with a TCP reset."""
-    sock = raw.transport.get_extra_info("socket")
-    sock.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-    raw.transport.abort()
+    if raw.transport is not None:
+        _reset_transport(raw.transport)
+
+
+def _reset_transport(transport: asyncio.Transport) -> None:
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    transport.abort()
