Tell the request that met the last pause when to come back

A request whose attempts were all rejected with Retry-After was told to come back after 0.3 s, though every replica had just asked for a longer pause. It gets the same refusal as those that come after it. The added assertion of test_client_is_rejected_at_once_if_all_replicas_are_paused fails before.

--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -447,6 +447,15 @@
             )
         if failure.response is not None:
             raise _ReplicaResponseError(failure.response)
+        service = self.log_entry.service
+        placement_error = self._make_placement_error(
+            service, self._shared.now()
+        )
+        if (
+            not self._may_have_run
+            and placement_error.code is request_errors.ErrorCode.REPLICAS_PAUSED
+        ):
+            raise placement_error
         reason = (
             request_errors.ErrorCode.OUTCOME_UNKNOWN
             if self._may_have_run
--- a/test/test_pauses.py
+++ b/test/test_pauses.py
@@ -142,7 +142,9 @@
 
     async def test_client_is_rejected_at_once_if_all_replicas_are_paused(self):
         self.pause("shop-1", "shop-2")
-        await self.call(platform_helper.ORDER, "first")
+        status, headers, _ = await self.call(platform_helper.ORDER, "first")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 1.5)
         began_at = time.monotonic()
         status, headers, _ = await self.call(platform_helper.ORDER, "second")
         self.assertLess(time.monotonic() - began_at, 0.2)
