Leave out odd entries instead of ending the task that reads the list

Another operator's report: one entry that is deeply nested, or has a number that is too large or a port out of range, ended the machines that read the list, or they stopped following it. It could happen here: RecursionError and ValueError passed the handlers of DecodeError, so the task of the listing ended once a second and the listing was not followed; port 99999 was accepted and each request placed there ended as internal, with no retry.

The VM list of the own interface is read entry by entry, its ports and hosts are checked; a list that cannot be parsed at all counts as unavailable. An invalid address counts as not sent.

Class of fault: the errors that a decoder is documented to raise are fewer than those it raises.

--- a/agatedock/errors.py
+++ b/agatedock/errors.py
@@ -4,6 +4,17 @@
 
 import dataclasses
 
+import msgspec
+
+# What decoders raise for data from outside: also RecursionError for values that
+# are nested too deeply, and ValueError for numbers with too many digits.
+MALFORMED_DATA_ERRORS = (
+    msgspec.MsgspecError,
+    RecursionError,
+    ValueError,
+    OverflowError,
+)
+
 
 class UserError(Exception):
     """Error whose text is shown to the operator without a traceback."""
--- a/agatedock/external.py
+++ b/agatedock/external.py
@@ -82,8 +82,8 @@
 
     name: str
     role: VmRole
-    host: str
-    port: int
+    host: str = pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,252}$")
+    port: int = pydantic.Field(ge=1, le=65535)
     failure_domain: str
     service: str = ""
     state: VmState = VmState.LIVE
--- a/agatedock/native/catalog.py
+++ b/agatedock/native/catalog.py
@@ -284,7 +284,7 @@
         Raises:
           errors.DecodeError: The item cannot be decoded.
         """
-        vm = _decode_vm(item)
+        vm = decode_vm(item)
         newest = self._newest_decoded
         return replicas.Replica(
             replica_id=vm.name,
@@ -303,7 +303,7 @@
         Raises:
           errors.DecodeError: The item cannot be decoded.
         """
-        vm = _decode_vm(item)
+        vm = decode_vm(item)
         return addresses.join((vm.host, vm.port))
 
     def handle_other(self, item: snapshots.Item) -> None:
@@ -312,7 +312,7 @@
             return
         try:
             alarm = msgspec.json.decode(item.value, type=Alarm)
-        except msgspec.MsgspecError as error:
+        except errors.MALFORMED_DATA_ERRORS as error:
             logs.event(
                 _log, "alarm_unreadable", logging.WARNING, error=str(error)
             )
@@ -347,7 +347,12 @@
     return snapshots.Item(key, value, revision, change_number=0)
 
 
-def _decode_vm(item: snapshots.Item) -> external.Vm:
+def decode_vm(item: snapshots.Item) -> external.Vm:
+    """Returns the VM of an item.
+
+    Raises:
+      errors.DecodeError: The item cannot be decoded.
+    """
     try:
         return external.Vm.model_validate_json(item.value)
     except pydantic.ValidationError as error:
--- a/agatedock/native/native_dialect.py
+++ b/agatedock/native/native_dialect.py
@@ -149,7 +149,7 @@
             return all(
                 event.get("id") == expected_id for event in parse_events(data)
             )
-        except (ValueError, AttributeError):
+        except (ValueError, AttributeError, RecursionError):
             return False
 
     def build_cancel_request(
--- a/agatedock/peers/messages.py
+++ b/agatedock/peers/messages.py
@@ -208,5 +208,5 @@
     """
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except errors.MALFORMED_DATA_ERRORS as error:
         raise errors.DecodeError(str(error)) from error
--- a/agatedock/peers/relay.py
+++ b/agatedock/peers/relay.py
@@ -23,6 +23,9 @@
 # Longer than the idle timeout, as a full delta takes longer over a slow link.
 TOTAL_TIMEOUT_S = 2.0
 
+# Digits of a 64-bit number.
+NUMBER_DIGITS_MAX = 19
+
 # With this parameter a request asks for the listing's age in a header, so that
 # one encoded body can be sent several times.
 AGE_PARAMETER = "age"
@@ -142,18 +145,31 @@
 
 def _parse_request(raw: web.BaseRequest) -> ListingRequest:
     position = snapshots.Position(
-        raw.query.get("source", ""), _parse_number(raw, "number")
+        raw.query.get("source", ""), parse_number(raw.query.get("number", ""))
     )
-    return ListingRequest(position, _parse_number(raw, "revision"))
+    revision = parse_number(raw.query.get("revision", ""))
+    return ListingRequest(position, revision)
 
 
-def _parse_number(raw: web.BaseRequest, name: str) -> int:
-    """Returns a number of the query, or 0 if it is missing or malformed.
+def parse_number(text: str) -> int:
+    """Returns a number of a query, or 0 if it is missing or malformed.
 
     0 is the number of a router without a listing or configuration.
     """
-    text = raw.query.get(name, "")
-    return int(text) if text.isascii() and text.isdigit() else 0
+    is_number = text.isascii() and text.isdigit()
+    return int(text) if is_number and len(text) <= NUMBER_DIGITS_MAX else 0
+
+
+def decode_delta(data: bytes) -> snapshots.Delta:
+    """Returns the delta in a peer's response.
+
+    Raises:
+      errors.Unavailable: It is malformed.
+    """
+    try:
+        return _decoder.decode(data)
+    except errors.MALFORMED_DATA_ERRORS as error:
+        raise errors.Unavailable(f"invalid listing: {error}") from error
 
 
 class ListingClient:
@@ -195,10 +211,10 @@
         try:
             async with self._session.get(url, params=query) as response:
                 body = await response.read()
-                delta = _decoder.decode(body)
+                delta = decode_delta(body)
                 # Routers of earlier versions send the age in the body only.
                 age_text = response.headers.get(AGE_HEADER)
-        except (aiohttp.ClientError, OSError, msgspec.MsgspecError) as error:
+        except (aiohttp.ClientError, OSError) as error:
             raise errors.Unavailable(f"{address}: {error!r}") from error
         if age_text is None:
             return delta
--- a/agatedock/serving/replica_client.py
+++ b/agatedock/serving/replica_client.py
@@ -11,6 +11,7 @@
 import multidict
 import yarl
 
+from agatedock import addresses
 from agatedock import logs
 from agatedock.decisions import retries
 from agatedock.serving import dialect
@@ -105,6 +106,9 @@
             if new_connection
             else self._keepalive_session
         )
+        if addresses.split(address) is None:
+            cause = f"invalid address {address!r}"
+            raise AttemptError(retries.Outcome.NOT_SENT, cause)
         url = yarl.URL(f"http://{address}{target}", encoded=True)
         try:
             async with asyncio.timeout(head_timeout_s):
--- a/agatedockplug/vmhttp.py
+++ b/agatedockplug/vmhttp.py
@@ -2,14 +2,40 @@
 
 from __future__ import annotations
 
+import logging
+
 import aiohttp
+import msgspec
 import pydantic
 
 from agatedock import errors
 from agatedock import external
+from agatedock import logs
 
 _CALL_TIMEOUT_S = 2.0
-_VMS_ADAPTER = pydantic.TypeAdapter(list[external.Vm])
+
+_log = logging.getLogger(__name__)
+
+
+def decode_vms(data: bytes) -> list[external.Vm]:
+    """Returns the VMs of a list; leaves out entries that are not valid.
+
+    Raises:
+      errors.Unavailable: It is not a list.
+    """
+    try:
+        items = msgspec.json.decode(data, type=list[msgspec.Raw])
+    except errors.MALFORMED_DATA_ERRORS as error:
+        raise errors.Unavailable(f"bad VM list: {error}") from error
+    vms = []
+    for item in items:
+        try:
+            vms.append(external.Vm.model_validate_json(bytes(item)))
+        except pydantic.ValidationError as error:
+            logs.event(
+                _log, "entry_unreadable", logging.WARNING, error=str(error)
+            )
+    return vms
 
 
 @external.vm_list_clients.register("http")
@@ -39,13 +65,11 @@
                     return None
                 if response.status != 200:
                     raise errors.Unavailable(f"status {response.status}")
-                vms = _VMS_ADAPTER.validate_json(await response.read())
+                vms = decode_vms(await response.read())
                 self._etag = response.headers.get("ETag", "")
                 return vms
         except (TimeoutError, aiohttp.ClientError) as error:
             raise errors.Unavailable(repr(error)) from error
-        except pydantic.ValidationError as error:
-            raise errors.Unavailable(f"bad VM list: {error}") from error
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/test/platform_helper.py
+++ b/test/platform_helper.py
@@ -11,6 +11,7 @@
 import unittest
 
 import aiohttp
+import multidict
 import yarl
 
 from agatedock_platform import app
@@ -88,6 +89,11 @@
     }
 
 
+def make_no_headers() -> multidict.CIMultiDict[str]:
+    """Returns the headers of a request that has none."""
+    return multidict.CIMultiDict()
+
+
 def encode(document: dict) -> bytes:
     """Returns a document as the operator writes it."""
     return json.dumps(document).encode()
