Take only a refusal that carries the id of the request as 'not run' (REFUSED, TWICE)

Another operator's report: a faulty replica wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that it ran. It could happen here: 421 and the not-executed header were looked at before the id of the attempt, so a refusal of any other request passed as true, an unsafe request that ran was answered 503, and might be sent to a second replica. The own interface took a draining refusal with another id.

A repetition of the same request's refusal has the right id: a second attempt at a replica goes over a connection of its own, as unsafe requests always do. A response that no request waits for, or to another request, closes its connection; one without a body had given it back to the pool before.

test_refusals: 4 of 5 fail before.

--- a/agatedock/native/native_dialect.py
+++ b/agatedock/native/native_dialect.py
@@ -113,15 +113,16 @@
         headers: Mapping[str, str],
     ) -> dialect.ResponseKind:
         """Returns how status and headers of a response are to be treated."""
+        own_id = request.request_id
+        if request.prompt:
+            own_id = make_engine_request_id(request)
+        # Rejections and some services do not echo the id.
+        if headers.get(client_requests.REQUEST_ID_HEADER, own_id) != own_id:
+            return dialect.ResponseKind.INVALID
         if status == _SERVICE_UNAVAILABLE and DRAINING_HEADER in headers:
             return dialect.ResponseKind.NOT_RUN
         if request.prompt:
-            return _classify_chat(request, status, headers)
-        echoed_id = headers.get(
-            client_requests.REQUEST_ID_HEADER, request.request_id
-        )
-        if echoed_id != request.request_id:
-            return dialect.ResponseKind.INVALID
+            return _classify_chat(own_id, status, headers)
         # A status below 500 is a valid response of the service, for the client.
         if status < 500:
             return dialect.ResponseKind.SUCCESS
@@ -248,13 +249,11 @@
 
 
 def _classify_chat(
-    request: requests.Request, status: int, headers: Mapping[str, str]
+    engine_request_id: str, status: int, headers: Mapping[str, str]
 ) -> dialect.ResponseKind:
     if status != _OK:
         # Engines reject a request only before they run it.
         return dialect.ResponseKind.NOT_RUN
-    if headers.get(client_requests.REQUEST_ID_HEADER) != make_engine_request_id(
-        request
-    ):
+    if headers.get(client_requests.REQUEST_ID_HEADER) != engine_request_id:
         return dialect.ResponseKind.INVALID
     return dialect.ResponseKind.SUCCESS
--- a/agatedock/serving/replica_client.py
+++ b/agatedock/serving/replica_client.py
@@ -29,6 +29,9 @@
 # first cancel goes over another connection and may overtake the request.
 CANCEL_RETRY_DELAYS_S = (0.2, 0.8)
 
+# Lower statuses are informational.
+_FIRST_FINAL_STATUS = 200
+
 _log = logging.getLogger(__name__)
 
 
@@ -48,9 +51,29 @@
     """Connection that treats a reset as an incomplete response.
 
     aiohttp would accept any end of the connection, also a reset, as the end of
-    a body without a length.
+    a body without a length. A response that no request waits for closes the
+    connection, as the next request would take it for its own.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._is_awaited = False
+
+    def set_response_params(self, **options: Any) -> None:
+        self._is_awaited = True
+        super().set_response_params(**options)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        is_awaited, self._is_awaited = self._is_awaited, False
+        # Informational responses precede the one that is awaited.
+        if is_awaited and data[0].code < _FIRST_FINAL_STATUS:
+            self._is_awaited = True
+        if not is_awaited:
+            self.force_close()
+            self.close()
+            return
+        super().feed_data(data, size)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
@@ -58,6 +81,26 @@
         super().connection_lost(exc)
 
 
+class _Response(aiohttp.ClientResponse):
+    """Response that remembers its connection.
+
+    A response without a body gives its connection back before it is returned.
+    """
+
+    _connection_protocol: Any = None
+
+    async def start(self, connection: Any) -> aiohttp.ClientResponse:
+        self._connection_protocol = connection.protocol
+        return await super().start(connection)
+
+    def discard_connection(self) -> None:
+        """Closes the connection, also if it was given back already."""
+        if self._connection_protocol is not None:
+            self._connection_protocol.force_close()
+            self._connection_protocol.close()
+        self.close()
+
+
 class ReplicaClient:
     """HTTP client for all replicas."""
 
@@ -131,6 +174,25 @@
         except (aiohttp.ClientError, OSError) as error:
             raise AttemptError(retries.Outcome.BROKEN, repr(error)) from error
 
+    def discard_connection(self, response: aiohttp.ClientResponse) -> None:
+        """Closes the connection of a response that belongs to no request.
+
+        Another response may follow it, for which the next request on the
+        connection would have to wait.
+        """
+        assert isinstance(response, _Response)
+        response.discard_connection()
+
+    def count_idle_connections(self) -> int:
+        """Returns the number of connections that wait for a request."""
+        connector = self._keepalive_session.connector
+        assert connector is not None
+        # aiohttp has no public way to list them.
+        pools = connector._conns.values()  # noqa: SLF001
+        return sum(
+            protocol.is_connected() for pool in pools for protocol, _ in pool
+        )
+
     def cancel(
         self,
         address: str,
@@ -193,6 +255,7 @@
     connector._factory = lambda: _ResponseHandler(loop)  # type: ignore[assignment]  # noqa: SLF001
     session = aiohttp.ClientSession(
         connector=connector,
+        response_class=_Response,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -522,6 +522,9 @@
         replica = attempt.placement.replica
         may_have_run_before = self._may_have_run
         newly_reached = replica.replica_id not in self._reached_ids
+        # On a connection that was used for an earlier attempt, its response
+        # could be taken for that of this one.
+        new_connection = not route.is_idempotent or not newly_reached
         self._reached_ids.add(replica.replica_id)
         self._attempt_count += 1
         self._head_received = False
@@ -535,7 +538,7 @@
                 self._request.target,
                 shared.dialect.build_request_headers(attempt),
                 shared.dialect.build_request_body(attempt),
-                new_connection=not route.is_idempotent,
+                new_connection=new_connection,
                 head_timeout_s=self._get_response_timeout_s(route),
             )
         except replica_client.AttemptError as error:
@@ -586,6 +589,7 @@
                 shared.health.record_result(replica.replica_id, False, now)
             return await self._read_rejection(response)
         if kind is dialect.ResponseKind.INVALID:
+            shared.replica_client.discard_connection(response)
             shared.health.record_result(replica.replica_id, False, now)
             return response_forwarder.AttemptFailure(retries.Outcome.BROKEN)
         return await self._forwarder.forward_response(
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -45,6 +45,10 @@
       leaving: All responses say that the replica is leaving.
       retry_after: Every request is rejected as not executed, with this value
         of Retry-After; empty for none.
+      foreign_refusal: Every request runs, and is answered with a rejection that
+        carries the attempt id of another request, with this status; 0 for none.
+      repeat_refusal: A request that follows a rejected one on the same
+        connection runs, and is answered with that rejection again.
       deadly_part: Id of a prompt part on which the replica crashes when it
         begins to write an answer; empty for none.
     """
@@ -60,6 +64,8 @@
     unframed: bool = False
     leaving: bool = False
     retry_after: str = ""
+    foreign_refusal: int = 0
+    repeat_refusal: bool = False
     deadly_part: str = ""
 
 
@@ -89,6 +95,11 @@
     paused_at: float | None = None
     pause_s: float = 0.0
 
+    @property
+    def attempt_id(self) -> str:
+        """Returns the attempt id of the request; empty without one."""
+        return self.headers.get(ATTEMPT_ID_HEADER, "")
+
 
 class Replica:
     """Responds with `run by NAME`, or with a stream of numbered events."""
@@ -115,6 +126,8 @@
         self.down_s = 1.5
         self.crashes: list[float] = []
         self._connections: set[asyncio.Transport] = set()
+        # Attempt id of the last rejection on each connection.
+        self._rejected_ids: dict[asyncio.BaseTransport, str] = {}
         self._restart_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -183,20 +196,32 @@
         expected = raw.headers.get("X-Agatedock-Expect-Replica")
         if expected not in (None, self.name):
             return self._make_response(
-                received, 421, {"X-Agatedock-Replica-Id": self.name}
+                received,
+                421,
+                {
+                    ATTEMPT_ID_HEADER: received.attempt_id,
+                    "X-Agatedock-Not-Executed": "1",
+                    "X-Agatedock-Replica-Id": self.name,
+                },
             )
         if self.faults.shed or self.faults.retry_after:
-            return self._reject(received)
+            self._rejected_ids[raw.transport] = received.attempt_id
+            return self._reject(received, received.attempt_id)
         received.ran = True
+        if self.faults.foreign_refusal:
+            return self._reject(received, "other", self.faults.foreign_refusal)
+        if self.faults.repeat_refusal and raw.transport in self._rejected_ids:
+            return self._reject(received, self._rejected_ids[raw.transport])
         try:
             return await self._run(raw, received)
         except asyncio.CancelledError:
             received.cancelled = True
             raise
 
-    def _reject(self, received: ReceivedRequest) -> web.Response:
-        """Rejects a request as not executed."""
-        attempt_id = received.headers.get(ATTEMPT_ID_HEADER, "")
+    def _reject(
+        self, received: ReceivedRequest, attempt_id: str, status: int = 503
+    ) -> web.Response:
+        """Returns a response that says "not executed"."""
         headers = {
             ATTEMPT_ID_HEADER: attempt_id,
             "X-Agatedock-Not-Executed": "1",
@@ -206,7 +231,7 @@
             received.paused_at = time.monotonic()
             with contextlib.suppress(ValueError):
                 received.pause_s = float(self.faults.retry_after)
-        return self._make_response(received, 503, headers)
+        return self._make_response(received, status, headers)
 
     def _make_response(
         self,
