--- a/agatedock/native/native_dialect.py
+++ b/agatedock/native/native_dialect.py
@@ -75,6 +75,7 @@
 
     needs_delivered_events = True
     has_sequential_event_ids = True
+    has_increasing_event_ids = True
     end_marker = DONE_EVENT
 
     def build_request_headers(
--- a/agatedock/serving/dialect.py
+++ b/agatedock/serving/dialect.py
@@ -102,12 +102,14 @@
       needs_delivered_events: Whether a resumed stream needs the events that
         were delivered so far.
       has_sequential_event_ids: Whether event ids count up by one, from 0.
+      has_increasing_event_ids: Whether each event id is above the one before.
       end_marker: Bytes at the end of a complete stream; empty if the end of the
         body marks completion.
     """
 
     needs_delivered_events: bool
     has_sequential_event_ids: bool
+    has_increasing_event_ids: bool
     end_marker: bytes
 
     def build_request_headers(
--- a/agatedock/serving/response_forwarder.py
+++ b/agatedock/serving/response_forwarder.py
@@ -20,6 +20,9 @@
 # Largest response of a route without streaming, which is buffered in full.
 RESPONSE_MAX_BYTES = 8 * 1024 * 1024
 
+_OK = 200
+_EVENT_STREAM = "text/event-stream"
+
 
 @dataclasses.dataclass
 class AttemptFailure:
@@ -94,7 +97,11 @@
           None once the client has the complete response, else the failure.
         """
         is_stream = route.kind is configuration.RouteKind.STREAM
-        if kind is dialect.ResponseKind.SUCCESS and is_stream:
+        if (
+            kind is dialect.ResponseKind.SUCCESS
+            and is_stream
+            and _is_event_stream(response)
+        ):
             return await self._forward_stream(route, replica_id, response)
         return await self._forward_complete(
             replica_id, kind, response, body_timeout_s
@@ -124,7 +131,7 @@
         headers = shared.dialect.build_response_headers(
             self._request, replica_id, response.headers
         )
-        if is_success:
+        if is_success and not self.streaming:
             self._log_entry.outcome = "answered"
             self._log_entry.status = response.status
             await self._client.send_response(response.status, headers, body)
@@ -145,8 +152,11 @@
         """Forwards events as they arrive; returns None at the stream's end."""
         await self._start_stream(replica_id, response)
         splitter = sse.SseSplitter(
-            self.last_event_id, self._shared.dialect.has_sequential_event_ids
+            self.last_event_id,
+            self._shared.dialect.has_sequential_event_ids,
+            self._shared.dialect.has_increasing_event_ids,
         )
+        has_events = False
         idle_timeout_s = (
             self._shared.timeouts.stream_idle_timeout_s
             if route.resumable
@@ -178,13 +188,11 @@
                 return AttemptFailure(retries.Outcome.BROKEN)
             if batch.data:
                 await self._write_batch(batch)
+                has_events = True
                 last_event_at = loop.time()
             if not chunk:
                 break
-        end_marker = self._shared.dialect.end_marker
-        if not splitter.at_event_boundary or not self._last_batch.endswith(
-            end_marker
-        ):
+        if not self._is_complete(splitter, has_events, response):
             self._record_unreachable(replica_id)
             return AttemptFailure(retries.Outcome.BROKEN, connection_lost=True)
         self._shared.health.record_result(replica_id, True, self._shared.now())
@@ -192,6 +200,23 @@
         await self._client.end_stream()
         return None
 
+    def _is_complete(
+        self,
+        splitter: sse.SseSplitter,
+        has_events: bool,
+        response: aiohttp.ClientResponse,
+    ) -> bool:
+        """Returns whether a stream that has ended is complete.
+
+        Without a length, chunks and events, the end of the connection says
+        nothing about the stream.
+        """
+        return (
+            splitter.at_event_boundary
+            and self._last_batch.endswith(self._shared.dialect.end_marker)
+            and (has_events or _is_framed(response))
+        )
+
     def _check_batch(self, batch: sse.Batch) -> sse.Batch:
         """Returns the batch if its events belong to the request.
 
@@ -231,6 +256,22 @@
         self._shared.health.record_unreachable(replica_id, self._shared.now())
 
 
+def _is_event_stream(response: aiohttp.ClientResponse) -> bool:
+    """Returns whether a response may consist of events."""
+    if response.status != _OK:
+        return False
+    has_type = "Content-Type" in response.headers
+    return not has_type or response.content_type == _EVENT_STREAM
+
+
+def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Returns whether a response has a length or chunks."""
+    return (
+        "Content-Length" in response.headers
+        or "Transfer-Encoding" in response.headers
+    )
+
+
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
     """Returns the body.
 
--- a/agatedock/serving/sse.py
+++ b/agatedock/serving/sse.py
@@ -8,6 +8,8 @@
 _ID_FIELD = b"id:"
 # Longest event that is buffered; a stream without event ends would fill memory.
 EVENT_MAX_BYTES = 1 << 20
+# Digits of an id that is compared as a number.
+_ID_DIGITS_MAX = 18
 
 
 class InvalidStreamError(Exception):  # noqa: N818
@@ -30,11 +32,15 @@
 class SseSplitter:
     """Splits a stream into complete events; buffers a partial one.
 
-    Sequential ids are checked: none may be missing or repeated.
+    Sequential ids are checked: none may be missing or repeated. Increasing ids
+    are checked as far as they are numbers: none may be repeated.
     """
 
     def __init__(
-        self, last_id: str | None = None, sequential_ids: bool = False
+        self,
+        last_id: str | None = None,
+        sequential_ids: bool = False,
+        increasing_ids: bool = False,
     ):
         """Initializes the splitter.
 
@@ -42,11 +48,14 @@
           last_id: Id of the event after which the stream is resumed; None at
             the start of a stream.
           sequential_ids: Whether ids must count up by one, from 0.
+          increasing_ids: Whether each id must be above the one before.
         """
         self._partial_event = b""
         self._next_id: int | None = None
         if sequential_ids:
             self._next_id = int(last_id) + 1 if last_id else 0
+        self._increasing_ids = increasing_ids
+        self._last_number = _parse_number(last_id or "")
 
     @property
     def at_event_boundary(self) -> bool:
@@ -80,6 +89,8 @@
         return Batch(events, ids[-1] if ids else None)
 
     def _check_ids(self, ids: list[str]) -> None:
+        if self._increasing_ids:
+            self._check_increasing(ids)
         if self._next_id is None:
             return
         for event_id in ids:
@@ -88,3 +99,24 @@
                     f"event id {event_id}, expected {self._next_id}"
                 )
             self._next_id += 1
+
+    def _check_increasing(self, ids: list[str]) -> None:
+        for event_id in ids:
+            number = _parse_number(event_id)
+            if (
+                number is not None
+                and self._last_number is not None
+                and number <= self._last_number
+            ):
+                raise InvalidStreamError(
+                    f"event id {number} after {self._last_number}"
+                )
+            self._last_number = number
+
+
+def _parse_number(event_id: str) -> int | None:
+    """Returns the number of an event; None if its id is not a number."""
+    is_number = event_id.isascii() and event_id.isdigit()
+    return (
+        int(event_id) if is_number and len(event_id) <= _ID_DIGITS_MAX else None
+    )
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -20,6 +20,39 @@
 SEAL_HEADER = "X-Agatedock-Response-Seal"
 LEAVING_HEADER = "Server-Leaving"
 
+EVENTS = "text/event-stream"
+
+
+@dataclasses.dataclass(frozen=True)
+class OddResponse:
+    """A response that is written as it is.
+
+    Attributes:
+      has_length: Whether the head has its length; otherwise it ends with the
+        connection.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    has_length: bool = False
+
+
+# Answers to a request for the rest of a stream.
+RESUMED_RESPONSES = {
+    "error": OddResponse(500, "text/plain", b"internal error\n\n", True),
+    "unavailable": OddResponse(503, "text/plain", b"busy\n\n", True),
+    "text": OddResponse(200, "text/plain", b"error\n\nsorry\n\n", True),
+    "no content": OddResponse(204, "", b""),
+    "empty without length": OddResponse(200, EVENTS, b""),
+    "text as events": OddResponse(200, EVENTS, b"internal error\n\n"),
+    "head as events": OddResponse(
+        200, EVENTS, b"HTTP/1.1 500 Error\nContent-Type: text/plain\n\n"
+    ),
+    "from the start": OddResponse(200, EVENTS, b"id: 1\ndata: x\n\n"),
+    "end inside an event": OddResponse(200, EVENTS, b"id: 3\ndata: x"),
+}
+
 # Number of bytes that a stalled response sends, and the pause between them.
 TRICKLE_BYTES = 100
 TRICKLE_INTERVAL_S = 0.3
@@ -49,6 +82,9 @@
         carries the attempt id of another request, with this status; 0 for none.
       repeat_refusal: A request that follows a rejected one on the same
         connection runs, and is answered with that rejection again.
+      unframed_end: Bodies and streams have no length and end in order.
+      resumed: How a stream that goes on after an event is answered; a key of
+        RESUMED_RESPONSES, or empty to go on with it.
       deadly_part: Id of a prompt part on which the replica crashes when it
         begins to write an answer; empty for none.
     """
@@ -66,6 +102,8 @@
     retry_after: str = ""
     foreign_refusal: int = 0
     repeat_refusal: bool = False
+    unframed_end: bool = False
+    resumed: str = ""
     deadly_part: str = ""
 
 
@@ -273,6 +311,9 @@
             )
         if faults.unframed:
             return await self._respond_unframed(raw, headers)
+        odd = self._choose_odd_response(raw)
+        if odd is not None:
+            return await self._write_raw(raw, headers, odd)
         if "X-Agatedock-Prompt-Prefix" in raw.headers:
             return await self._stream(raw, received, headers)
         if faults.trickle_after is not None:
@@ -316,6 +357,37 @@
         part_ids = [item.partition(":")[0] for item in prompt.split(",")]
         return self.faults.deadly_part in part_ids
 
+    def _choose_odd_response(self, raw: web.BaseRequest) -> OddResponse | None:
+        """Returns the response that is written as it is; None for none."""
+        if self.faults.resumed and "Last-Event-Id" in raw.headers:
+            return RESUMED_RESPONSES[self.faults.resumed]
+        if not self.faults.unframed_end:
+            return None
+        if "X-Agatedock-Prompt-Prefix" not in raw.headers:
+            return OddResponse(200, "", f"run by {self.name}".encode())
+        events = b"".join(
+            f"id: {number}\ndata: x\n\n".encode()
+            for number in range(1, self.events + 1)
+        )
+        return OddResponse(200, EVENTS, events)
+
+    async def _write_raw(
+        self, raw: web.BaseRequest, headers: dict[str, str], odd: OddResponse
+    ) -> web.Response:
+        """Writes a response, and closes the connection in order."""
+        headers["Connection"] = "close"
+        if odd.content_type:
+            headers["Content-Type"] = odd.content_type
+        if odd.has_length:
+            headers["Content-Length"] = str(len(odd.body))
+        lines = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
+        head = f"HTTP/1.1 {odd.status} Status\r\n{lines}\r\n"
+        assert isinstance(raw.transport, asyncio.Transport)
+        raw.transport.write(head.encode() + odd.body)
+        await asyncio.sleep(0.05)
+        raw.transport.close()
+        return web.Response()
+
     async def _respond_unframed(
         self, raw: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
