Tell other routers of replicas that say in a response that they drain

Each router had to be told by an answer of its own, while the listing may show a departure late or not at all. The run is passed on by gossip, some ten datagrams a router; whoever hears of it prefers other replicas for five seconds and uses it if none is left, so that a peer can put no replica out of use. test_draining: fleets of 6 and 60 routers in virtual time know within 1.5 s; a peer that names a replica a hundred times in 50 s has it avoided for less than a fifth of them.

--- a/agatedock/diagnosis.py
+++ b/agatedock/diagnosis.py
@@ -30,6 +30,7 @@
         "attempt_broken",
         "part_probed",
         "replica_draining",
+        "replica_draining_heard",
         "replica_gone",
         "replica_notice",
         "replica_seen",
--- /dev/null
+++ b/agatedock/peers/draining_exchange.py
@@ -0,0 +1,136 @@
+"""Tells other routers of replicas that say in a response that they drain.
+
+The listing may show that late, above all while the store is unavailable. What a
+peer says makes this router only prefer other replicas for a while, so that no
+peer can put a replica out of use.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+import math
+import random
+
+from agatedock import addresses
+from agatedock import hashing
+from agatedock import logs
+from agatedock.peers import endpoint
+from agatedock.peers import gossip
+from agatedock.peers import messages
+from agatedock.views import crash_evidence
+from agatedock.views import directory
+from agatedock.views import health
+
+_log = logging.getLogger(__name__)
+
+ROUND_S = 0.05
+# Rounds in which a run is forwarded, in addition to the logarithm of the fleet.
+EXTRA_ROUNDS = 4
+# How long other replicas are preferred.
+AVOIDED_S = 5.0
+# A run that a peer named is ignored for this long if it is named again.
+REMEMBERED_S = 60.0
+RUNS_PER_MESSAGE_MAX = 20
+# Part of the bandwidth budget that is left for reservations.
+RESERVED_BYTES = endpoint.BURST_MAX_BYTES / 4
+
+
+class DrainingExchange:
+    """Sends, receives and forwards runs that drain."""
+
+    def __init__(
+        self,
+        peer_endpoint: endpoint.Endpoint,
+        peers: gossip.Gossip,
+        replica_directory: directory.Directory,
+        replica_health: health.ReplicaHealth,
+        now: Callable[[], float],
+    ) -> None:
+        """Registers for runs that drain at the endpoint.
+
+        Args:
+          peer_endpoint: Sends and receives datagrams.
+          peers: The other routers and their addresses.
+          replica_directory: Known replicas.
+          replica_health: Suspends the replicas that peers name.
+          now: Returns the present time in seconds.
+        """
+        self._peer_endpoint = peer_endpoint
+        self._peers = peers
+        self._directory = replica_directory
+        self._health = replica_health
+        self._now = now
+        # Rounds in which a run is still to be sent, and when it was heard of.
+        self._rounds_left: dict[int, int] = {}
+        self._known_at: dict[int, float] = {}
+        self._random = random.Random(peers.name)
+        peer_endpoint.handlers[messages.DrainingRuns] = self
+
+    async def run(self) -> None:
+        """Sends runs periodically until cancelled."""
+        while True:
+            await asyncio.sleep(ROUND_S)
+            self.run_round(self._now())
+
+    def run_round(self, now: float) -> None:
+        """Sends the runs with rounds left to one peer."""
+        names = [peer.name for peer in self._peers.list_peers()]
+        told, self._directory.told_draining = self._directory.told_draining, []
+        for replica in told:
+            self._start(crash_evidence.hash_run(replica), len(names), now)
+        run_hashes = list(self._rounds_left)[:RUNS_PER_MESSAGE_MAX]
+        if (
+            not names
+            or not run_hashes
+            or not self._peer_endpoint.may_send(RESERVED_BYTES)
+        ):
+            return
+        address = self._peers.get_socket_address(
+            hashing.hash_name(self._random.choice(names))
+        )
+        if address is not None:
+            message = messages.DrainingRuns(run_hashes)
+            self._peer_endpoint.send(message, address)
+        for run_hash in run_hashes:
+            self._rounds_left[run_hash] -= 1
+            if self._rounds_left[run_hash] <= 0:
+                del self._rounds_left[run_hash]
+
+    def _start(self, run_hash: int, peer_count: int, now: float) -> None:
+        self._known_at = {
+            known: at
+            for known, at in self._known_at.items()
+            if now - at < REMEMBERED_S
+        }
+        self._known_at[run_hash] = now
+        self._rounds_left[run_hash] = EXTRA_ROUNDS + math.ceil(
+            math.log2(peer_count + 1)
+        )
+
+    def handle_message(
+        self, message: messages.Message, address: addresses.Address
+    ) -> None:
+        """Prefers other replicas to those that a peer names for a while."""
+        del address
+        if not isinstance(message, messages.DrainingRuns):
+            return
+        now = self._now()
+        new_hashes = {
+            run_hash
+            for run_hash in message.run_hashes[:RUNS_PER_MESSAGE_MAX]
+            if now - self._known_at.get(run_hash, -math.inf) >= REMEMBERED_S
+        }
+        if not new_hashes:
+            return
+        # Runs that are not listed here are neither kept nor forwarded.
+        for replica in self._directory.list_all():
+            run_hash = crash_evidence.hash_run(replica)
+            if run_hash not in new_hashes:
+                continue
+            self._start(run_hash, len(self._peers.list_peers()), now)
+            self._health.suspend(replica.replica_id, now + AVOIDED_S)
+            logs.event(
+                _log, "replica_draining_heard", replica=replica.replica_id
+            )
--- a/agatedock/peers/messages.py
+++ b/agatedock/peers/messages.py
@@ -181,6 +181,16 @@
     parts: list[PartReport]
 
 
+class DrainingRuns(msgspec.Struct, array_like=True, frozen=True, tag=8):
+    """Runs of replicas that say that they drain, sent to random peers.
+
+    Attributes:
+      run_hashes: Hashes of the runs.
+    """
+
+    run_hashes: list[int]
+
+
 Reply = ReservationReply | PartHolders
 Message = (
     GossipMessage
@@ -188,6 +198,7 @@
     | PartLookup
     | Departures
     | CrashEvidence
+    | DrainingRuns
     | Reply
 )
 
--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -18,6 +18,7 @@
 from agatedock import logs
 from agatedock import metrics
 from agatedock.domain import requests
+from agatedock.peers import draining_exchange
 from agatedock.peers import endpoint
 from agatedock.peers import evidence_exchange
 from agatedock.peers import followers
@@ -135,6 +136,13 @@
             self.shared.crash_evidence,
             self.shared.now,
         )
+        self._draining_exchange = draining_exchange.DrainingExchange(
+            self.endpoint,
+            self.gossip,
+            self.shared.directory,
+            self.shared.health,
+            self.shared.now,
+        )
         self._listing_client = relay.ListingClient()
         self.follower = followers.Follower(
             dependencies.source,
@@ -186,6 +194,7 @@
             self.gossip.run,
             self.shared.reservations.run,
             self._evidence_exchange.run,
+            self._draining_exchange.run,
         )
         for run_task in (*own_tasks, *extra_tasks):
             self._tasks.append(asyncio.create_task(run_with_restart(run_task)))
--- a/agatedock/views/directory.py
+++ b/agatedock/views/directory.py
@@ -18,9 +18,15 @@
 
 
 class Directory:
-    """The replicas of all services, by id, hash and service."""
+    """The replicas of all services, by id, hash and service.
+
+    Attributes:
+      told_draining: Replicas whose response said that they drain, for other
+        routers; whoever tells them removes the replicas.
+    """
 
     def __init__(self) -> None:
+        self.told_draining: list[replicas.Replica] = []
         self._replicas: dict[str, replicas.Replica] = {}
         self._by_hash: dict[int, replicas.Replica] = {}
         self._by_service: dict[str, dict[str, replicas.Replica]] = {}
@@ -152,6 +158,8 @@
         current = self._replicas.get(replica.replica_id)
         was_usable = current is not None and self.is_usable(current)
         self._record_draining(replica.lifetime, now)
+        if was_usable:
+            self.told_draining.append(replica)
         # The listing may have shown a new run at this address before its
         # response arrived.
         if current is not None and current.address == replica.address:
--- a/agatedock/views/health.py
+++ b/agatedock/views/health.py
@@ -84,6 +84,12 @@
         self._degraded.add(replica_id)
         status.suspend_s = min(SUSPEND_MAX_S, 2 * status.suspend_s)
 
+    def suspend(self, replica_id: str, until: float) -> None:
+        """Suspends a replica that another router says is draining."""
+        status = self._get(replica_id)
+        status.suspended_until = max(status.suspended_until, until)
+        self._degraded.add(replica_id)
+
     def is_suspended(self, replica_id: str, now: float) -> bool:
         """Returns whether a replica is suspended, as it was unreachable."""
         status = self._by_id.get(replica_id)
--- a/test/test_draining.py
+++ b/test/test_draining.py
@@ -10,9 +10,17 @@
 from hypothesis import strategies
 
 from agatedock.domain import replicas
+from agatedock.native import native_dialect
+from agatedock.peers import draining_exchange
+from agatedock.peers import messages
+from agatedock.views import crash_evidence
 from agatedock.views import directory
+from agatedock.views import health
 from test import helper
 from test import platform_helper
+from test import simulation
+from test import test_departures
+from test import test_peers
 
 helper.load_profile()
 
@@ -143,6 +151,19 @@
         self.assertEqual(shared.loads.get_own_counts(), {})
 
 
+class NativeTest(unittest.TestCase):
+    """The own interface has the same words in its own names."""
+
+    def test_any_response_may_say_draining_and_a_rejection_a_pause(self):
+        dialect = native_dialect.NativeDialect()
+        request = helper.make_prompted("r", (), NOW)
+        headers = {native_dialect.DRAINING_HEADER: "1", "Retry-After": "2"}
+        for status, pause in ((200, None), (500, None), (503, "2")):
+            notice = dialect.parse_notice(request, status, headers)
+            self.assertTrue(notice.draining)
+            self.assertEqual(notice.retry_after, pause)
+
+
 class DirectoryTest(unittest.TestCase):
     """Notices, listings and restarts in any order."""
 
@@ -210,3 +231,65 @@
                 for item in view.list_usable("llm")
             }
             self.assertFalse(usable & told)
+
+
+class _Router:
+    """The directory and the exchange of one router of a simulated fleet."""
+
+    def __init__(self, node: simulation.Node) -> None:
+        self.node = node
+        self.directory = directory.Directory()
+        self.health = health.ReplicaHealth()
+        listed = [helper.make_replica(number) for number in range(6)]
+        helper.apply_listing(self.directory, listed, 0.0, 0.0)
+        self.exchange = draining_exchange.DrainingExchange(
+            node.peer_endpoint,
+            node.gossip,
+            self.directory,
+            self.health,
+            asyncio.get_running_loop().time,
+        )
+        self.task = asyncio.create_task(self.exchange.run())
+
+    def avoids(self, number: int) -> bool:
+        """Returns whether other replicas are preferred to one."""
+        now = asyncio.get_running_loop().time()
+        return self.health.is_suspended(f"replica-{number}", now)
+
+
+class ExchangeTest(unittest.TestCase):
+    """Routers tell each other of replicas that drain."""
+
+    async def start_routers(self, count: int) -> list[_Router]:
+        fleet = test_peers.make_fleet(count)
+        routers = [_Router(node) for node in fleet.nodes]
+        await asyncio.sleep(test_departures.SETTLE_S)
+        return routers
+
+    @test_peers.in_virtual_time
+    async def test_all_routers_prefer_others_to_a_replica_that_one_was_told_of(
+        self,
+    ):
+        for count in (6, 60):
+            with self.subTest(routers=count):
+                routers = await self.start_routers(count)
+                now = asyncio.get_running_loop().time()
+                routers[0].directory.mark_draining(helper.make_replica(3), now)
+                await asyncio.sleep(1.5)
+                others = routers[1:]
+                self.assertTrue(all(router.avoids(3) for router in others))
+                self.assertFalse(any(router.avoids(2) for router in others))
+
+    @test_peers.in_virtual_time
+    async def test_peer_cannot_put_a_replica_out_of_use(self):
+        routers = await self.start_routers(3)
+        run_hash = crash_evidence.hash_run(helper.make_replica(3))
+        message = messages.DrainingRuns([run_hash, 12345])
+        avoided = 0
+        for _ in range(100):
+            routers[0].exchange.handle_message(message, ("10.0.0.9", 1))
+            await asyncio.sleep(0.5)
+            avoided += routers[0].avoids(3)
+        self.assertLess(avoided, 20)
+        usable = routers[0].directory.list_usable("llm")
+        self.assertEqual(len(usable), 6)
