Play a prompt part that crashes replicas in the soak

From seed 5000 on a tenth of the chats have a part on which a replica resets all connections and comes back as a new run. The check is the platform's bound, from what the stand-ins recorded. A new run of a stand-in has the time of its start, as real ones do.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -158,7 +158,9 @@
         self.address = ""
         self.listen_address = ""
         self._sequence = 0
-        self.born = 1_700_000_000_000
+        # Unix time of the start of its present run in milliseconds.
+        self.born = 0
+        self.begin_run()
         # Called after each crash, when a new run has started.
         self.on_restart: Callable[[Replica], None] | None = None
         self.down_s = 1.5
@@ -183,6 +185,10 @@
             await self._runner.cleanup()
             self._runner = None
 
+    def begin_run(self) -> None:
+        """Starts a new run under the same name and address."""
+        self.born = max(self.born + 1, time.time_ns() // 1_000_000)
+
     def crash(self) -> None:
         """Resets all connections, and starts a new run a while later."""
         self.crashes.append(time.monotonic())
@@ -196,7 +202,7 @@
         for site in list(self._runner.sites):
             await site.stop()
         await asyncio.sleep(self.down_s)
-        self.born += 1
+        self.begin_run()
         host, _, port = self.listen_address.rpartition(":")
         await web.TCPSite(self._runner, host, int(port)).start()
         if self.on_restart is not None:
--- a/test/soak.py
+++ b/test/soak.py
@@ -36,9 +36,14 @@
 # Seeds from here on also play replicas that say in their responses that they
 # drain, or ask for a pause.
 FIRST_NOTICE_SEED = 3000
-# Seeds from here on use as many routers as the machine bears.
+# Seeds from here to the next limit use as many routers as the machine bears.
 FIRST_CROWDED_SEED = 4000
 CROWDED_ROUTER_COUNTS = (16, 24, 32)
+# Seeds from here on also have requests with a prompt part that crashes
+# replicas.
+FIRST_DEADLY_SEED = 5000
+DEADLY_PART = "dead"
+DEADLY_SHARE = 0.1
 ZONES = ("a", "b")
 REPLICAS_PER_SERVICE = 3
 FAULT_PHASE_S = 7.0
@@ -74,6 +79,7 @@
       sent_at: Monotonic time in seconds.
       status: HTTP status; 0 if no response arrived.
       complete: Whether the body was read to its end.
+      is_deadly: Whether its prompt has the part that crashes replicas.
     """
 
     request_id: str
@@ -84,6 +90,7 @@
     status: int = 0
     body: bytes = b""
     complete: bool = False
+    is_deadly: bool = False
     elapsed_s: float = 0.0
 
 
@@ -110,6 +117,7 @@
         self._seed = seed
         self._large = seed >= FIRST_LARGE_SEED
         self._has_notices = seed >= FIRST_NOTICE_SEED
+        self._has_deadly_part = seed >= FIRST_DEADLY_SEED
         self._fault_phase_s = FAULT_PHASE_S
         self._last_fault_s = LAST_FAULT_S
         if self._has_notices:
@@ -156,6 +164,9 @@
             item.address = front.address
             self._replicas.append(item)
             self._register(item)
+            if self._has_deadly_part:
+                item.faults.deadly_part = DEADLY_PART
+                item.on_restart = self._register
         self._configure(API_KEYS)
         for number in range(self._choose_router_count()):
             node = self._write_settings(number, store_proxy.address)
@@ -166,7 +177,7 @@
         if not self._large:
             return ROUTER_COUNT
         counts = LARGE_ROUTER_COUNTS
-        if self._seed >= FIRST_CROWDED_SEED:
+        if FIRST_CROWDED_SEED <= self._seed < FIRST_DEADLY_SEED:
             counts = CROWDED_ROUTER_COUNTS
         return self._topology_random.choice(counts)
 
@@ -282,8 +293,7 @@
             "Authorization": f"Bearer {key}",
         }
         if path.startswith(("/chat", "/draft")):
-            part = self._random.randrange(5)
-            headers["X-Agatedock-Prompt-Prefix"] = f"a:10,b{part}:90,{path}:5"
+            headers["X-Agatedock-Prompt-Prefix"] = self._make_prompt(call)
         method = "GET" if path.startswith("/lookup") else "POST"
         session, is_reused = self._get_session(node)
         try:
@@ -302,6 +312,16 @@
         call.elapsed_s = time.monotonic() - call.sent_at
         return call.status
 
+    def _make_prompt(self, call: Call) -> str:
+        parts = f"a:10,b{self._random.randrange(5)}:90"
+        call.is_deadly = (
+            self._has_deadly_part
+            and self._topology_random.random() < DEADLY_SHARE
+        )
+        if call.is_deadly:
+            parts += f",{DEADLY_PART}:50"
+        return f"{parts},{call.path}:5"
+
     def _get_session(self, node: Node) -> tuple[aiohttp.ClientSession, bool]:
         """Returns a session, and whether it is reused for later requests.
 
@@ -369,7 +389,7 @@
         self._register(item)
         await asyncio.sleep(self._random.uniform(2.0, 3.5))
         item.faults.leaving = False
-        item.born += 1
+        item.begin_run()
         self._register(item)
 
     async def _pause_replica(self) -> None:
@@ -487,13 +507,21 @@
     def _check_notices(self) -> None:
         calls = {call.request_id: call for call in self._calls}
         nodes = {node.path.stem: node for node in self._nodes}
+        deadly: list[soak_notices.Arrival] = []
         for item in self._replicas:
             arrivals = [
                 self._describe_arrival(item, record, calls, nodes)
                 for record in item.received_requests
-                if record.headers["X-Agatedock-Attempt-Id"] in calls
+                if record.attempt_id in calls
             ]
             self.violations += soak_notices.find_violations(item.name, arrivals)
+            deadly += [
+                arrival
+                for arrival in arrivals
+                if calls[arrival.record.attempt_id].is_deadly
+            ]
+        crashes = [at for item in self._replicas for at in item.crashes]
+        self.violations += soak_notices.find_late_crashes(deadly, crashes)
 
     def _describe_arrival(
         self,
@@ -502,7 +530,7 @@
         calls: dict[str, Call],
         nodes: dict[str, Node],
     ) -> soak_notices.Arrival:
-        call = calls[record.headers["X-Agatedock-Attempt-Id"]]
+        call = calls[record.attempt_id]
         was_answered = record.finished and call.complete and call.status == 200
         return soak_notices.Arrival(
             record,
@@ -546,7 +574,9 @@
         recovered = [
             call
             for call in self._calls
-            if call.sent_at > self._recovered_at and call.key == API_KEYS[0]
+            if call.sent_at > self._recovered_at
+            and call.key == API_KEYS[0]
+            and not call.is_deadly
         ]
         served = [
             call for call in recovered if call.status == 200 and call.complete
--- a/test/soak_notices.py
+++ b/test/soak_notices.py
@@ -1,4 +1,4 @@
-"""Checks of a soak: what reached replicas after they drained or paused."""
+"""Checks of a soak: what reached replicas that drained, paused or crashed."""
 
 from __future__ import annotations
 
@@ -11,6 +11,10 @@
 DRAIN_S = 2.0
 PAUSE_REACTION_S = 0.5
 PAUSED_REQUESTS_MAX = 2
+# Bounds for requests with a prompt part that crashes replicas.
+CRASHES_BEFORE_BOUND = 5
+CONTACT_S = 3.0
+DEADLY_REQUESTS_MAX = 3
 # A response that is written while its link fails may not arrive.
 LINK_MARGIN_S = 0.3
 
@@ -118,3 +122,31 @@
                 f"{count} requests in a pause of {told.record.pause_s:.1f} s"
             )
     return violations
+
+
+def find_late_crashes(
+    arrivals: Iterable[Arrival], crashes: Iterable[float]
+) -> list[str]:
+    """Returns a violation if a deadly part kept reaching replicas.
+
+    Args:
+      arrivals: All requests with the part that reached replicas.
+      crashes: Times of all crashes, in seconds.
+    """
+    times = sorted(crashes)
+    if len(times) < CRASHES_BEFORE_BOUND:
+        return []
+    bound_from = times[CRASHES_BEFORE_BOUND - 1] + CONTACT_S
+    late = [
+        arrival
+        for arrival in arrivals
+        if arrival.record.received_at > bound_from
+        and not arrival.router_disturbances.overlap(
+            arrival.sent_at - CONTACT_S, arrival.record.received_at
+        )
+    ]
+    if len(late) <= DEADLY_REQUESTS_MAX:
+        return []
+    return [
+        f"{len(late)} requests with a deadly part after {len(times)} crashes"
+    ]
--- a/test/test_crashing_part.py
+++ b/test/test_crashing_part.py
@@ -92,7 +92,7 @@
         for name in ("llm-1", "llm-2"):
             self.replicas[name].version = "v2"
             self.replicas[name].faults.deadly_part = ""
-        self.replicas["llm-1"].born += 10
+        self.replicas["llm-1"].begin_run()
         self.register("llm-1")
         await asyncio.sleep(LISTED_S)
         for index in range(3):
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -10,7 +10,14 @@
 
 from test import soak
 
-SEEDS = (1, 2, 3, soak.FIRST_NOTICE_SEED, soak.FIRST_NOTICE_SEED + 5)
+SEEDS = (
+    1,
+    2,
+    3,
+    soak.FIRST_NOTICE_SEED,
+    soak.FIRST_NOTICE_SEED + 5,
+    soak.FIRST_DEADLY_SEED,
+)
 # Seed -> cause of its failure, since fixed.
 REGRESSIONS = {
     104: "a SIGHUP while the process was importing its modules ended it",
