Know a run that says 'draining' before it is listed by its start

By reading: the answer came from a new run under the same id and address, while the old one was listed; the mark was kept for the old run, and the first request after the listing reached the new one. The mark goes to a new run that had started within the ten seconds before the answer, by the time of day, or had been listed by a read before it. test_run_that_says_draining_before_it_is_listed_is_not_used fails without it.

--- a/agatedock/serving/notices.py
+++ b/agatedock/serving/notices.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from agatedock import clock
 from agatedock import logs
 from agatedock.decisions import pauses
 from agatedock.domain import replicas
@@ -51,7 +52,9 @@
         retry_after=(notice.retry_after or "")[:LOGGED_VALUE_CHARS_MAX],
     )
     now = shared.now()
-    if notice.draining and shared.directory.mark_draining(replica, now):
+    if notice.draining and shared.directory.mark_draining(
+        replica, now, clock.read_wall_ms()
+    ):
         logs.event(
             _log,
             "replica_draining",
--- a/agatedock/views/directory.py
+++ b/agatedock/views/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import dataclasses
 
 from agatedock import hashing
 from agatedock.domain import replicas
@@ -15,6 +16,23 @@
 EXPIRY_GRACE_S = 2.0
 # Lifetimes that are remembered as draining; the oldest are dropped first.
 DRAINING_LIFETIMES_MAX = 1000
+# A run that started at most this long before a response said "draining", and
+# was not listed yet, may be the one that said so.
+UNLISTED_MAX_S = 10.0
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _DrainingNotice:
+    """When a response first said that a run of a replica is draining.
+
+    Attributes:
+      at: In seconds of the router's clock.
+      wall_ms: In Unix milliseconds of the router's VM.
+    """
+
+    at: float
+    wall_ms: int
 
 
 class Directory:
@@ -33,9 +51,8 @@
         # Cache of `list_usable`; invalidated when a replica of the service
         # changes.
         self._usable: dict[str, list[replicas.Replica]] = {}
-        # When a response first said that the replica is draining, in seconds.
-        # Kept after its entry was removed, as an old entry may return.
-        self._draining: dict[replicas.Lifetime, float] = {}
+        # Kept after the entry of the run was removed, as it may return.
+        self._draining: dict[replicas.Lifetime, _DrainingNotice] = {}
         # Ids of replicas whose departure peers announced before the listing.
         self._announced: frozenset[str] = frozenset()
         # Ids whose entries were removed from the listing but are kept here
@@ -94,17 +111,19 @@
     ) -> None:
         """Marks a new run as draining if it was the one that said so.
 
-        It was if it ran already when the store was read, and the response came
-        later from the same address.
+        It was if it ran already at that time, at the same address: the store
+        was read before, or the run had started shortly before.
         """
-        marked_at = self._draining.get(previous.lifetime)
+        notice = self._draining.get(previous.lifetime)
         if (
-            marked_at is not None
-            and marked_at > read_at
-            and previous.address == replica.address
-            and previous.lifetime != replica.lifetime
+            notice is None
+            or previous.address != replica.address
+            or previous.lifetime == replica.lifetime
         ):
-            self._record_draining(replica.lifetime, marked_at)
+            return
+        started_before_s = (notice.wall_ms - replica.started_at_ms) / _MS_PER_S
+        if notice.at > read_at or 0 <= started_before_s <= UNLISTED_MAX_S:
+            self._record_draining(replica.lifetime, notice)
 
     def _remove_missing(self, now: float) -> list[replicas.Replica]:
         expired = [
@@ -119,7 +138,7 @@
                 # A later run could not be told from this one.
                 self._draining.pop(replica.lifetime, None)
             elif replica.state is replicas.ReplicaState.DRAINING:
-                self._record_draining(replica.lifetime, now)
+                self._record_draining(replica.lifetime, _DrainingNotice(now, 0))
         return expired
 
     def _add(self, replica: replicas.Replica) -> None:
@@ -142,7 +161,9 @@
             del self._by_service[replica.service]
         self._usable.pop(replica.service, None)
 
-    def mark_draining(self, replica: replicas.Replica, now: float) -> bool:
+    def mark_draining(
+        self, replica: replicas.Replica, now: float, wall_ms: int
+    ) -> bool:
         """Stops using a replica whose response says that it is draining.
 
         Only this run of the replica is meant, not a later one under its id or
@@ -151,23 +172,27 @@
         Args:
           replica: The replica that the request was sent to.
           now: Present time in seconds.
+          wall_ms: Present time in Unix milliseconds.
 
         Returns:
           Whether it was still in use.
         """
         current = self._replicas.get(replica.replica_id)
         was_usable = current is not None and self.is_usable(current)
-        self._record_draining(replica.lifetime, now)
+        notice = _DrainingNotice(now, wall_ms)
+        self._record_draining(replica.lifetime, notice)
         if was_usable:
             self.told_draining.append(replica)
         # The listing may have shown a new run at this address before its
         # response arrived.
         if current is not None and current.address == replica.address:
-            self._record_draining(current.lifetime, now)
+            self._record_draining(current.lifetime, notice)
         return was_usable
 
-    def _record_draining(self, lifetime: replicas.Lifetime, at: float) -> None:
-        self._draining.setdefault(lifetime, at)
+    def _record_draining(
+        self, lifetime: replicas.Lifetime, notice: _DrainingNotice
+    ) -> None:
+        self._draining.setdefault(lifetime, notice)
         while len(self._draining) > DRAINING_LIFETIMES_MAX:
             del self._draining[next(iter(self._draining))]
         replica = self._replicas.get(lifetime.replica_id)
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -421,7 +421,7 @@
         """A listing that lags behind does not bring it back."""
         view = directory.Directory()
         helper.apply_listing(view, [helper.make_replica(1)], NOW, NOW)
-        view.mark_draining(helper.make_replica(1), NOW)
+        view.mark_draining(helper.make_replica(1), NOW, 0)
         for step in range(1, 5):
             helper.apply_listing(
                 view, [helper.make_replica(1)], NOW + step, NOW + step
--- a/test/test_draining.py
+++ b/test/test_draining.py
@@ -86,7 +86,7 @@
     async def restart(self, name: str) -> None:
         """Starts a new run of a replica, and waits until it is listed."""
         replica = self.replicas[name]
-        replica.born += 1
+        replica.begin_run()
         replica.received_requests.clear()
         replica.faults.leaving = False
         self.register(name)
@@ -136,7 +136,7 @@
             if not marked:
                 marked.append(replica_id)
                 replica = shared.directory.get(replica_id)
-                shared.directory.mark_draining(replica, shared.now())
+                shared.directory.mark_draining(replica, shared.now(), 1)
             return
 
         with (
@@ -172,10 +172,21 @@
         first = helper.make_replica(1)
         second = helper.make_replica(1, started_at_ms=2)
         helper.apply_listing(view, [first], NOW, NOW)
-        view.mark_draining(first, NOW + 2)
+        view.mark_draining(first, NOW + 2, 0)
         helper.apply_listing(view, [second], NOW + 1, NOW + 2.5)
         self.assertEqual(view.list_usable("llm"), [])
 
+    def test_run_that_says_draining_before_it_is_listed_is_not_used(self):
+        for started_ms, is_used in ((7_000, False), (9_000, True)):
+            with self.subTest(started_ms):
+                view = directory.Directory()
+                first = helper.make_replica(1)
+                helper.apply_listing(view, [first], NOW, NOW)
+                view.mark_draining(first, NOW + 1, 8_000)
+                second = helper.make_replica(1, started_at_ms=started_ms)
+                helper.apply_listing(view, [second], NOW + 2, NOW + 2)
+                self.assertEqual(bool(view.list_usable("llm")), is_used)
+
     def test_removed_draining_entry_is_not_brought_back_by_an_older_one(self):
         view = directory.Directory()
         draining = helper.make_replica(
@@ -191,7 +202,7 @@
     def test_remembered_lifetimes_are_bounded(self):
         view = directory.Directory()
         for number in range(2 * directory.DRAINING_LIFETIMES_MAX):
-            view.mark_draining(helper.make_replica(number), NOW)
+            view.mark_draining(helper.make_replica(number), NOW, 0)
         self.assertLessEqual(
             len(view._draining),  # noqa: SLF001
             directory.DRAINING_LIFETIMES_MAX,
@@ -218,7 +229,7 @@
                 number, started_at_ms=started[number], sequence=sequence
             )
             if event == "notice" and view.get(current.replica_id):
-                view.mark_draining(current, now)
+                view.mark_draining(current, now, 0)
                 told.add((number, started[number]))
             elif event == "restart":
                 started[number] += 1
@@ -274,7 +285,9 @@
             with self.subTest(routers=count):
                 routers = await self.start_routers(count)
                 now = asyncio.get_running_loop().time()
-                routers[0].directory.mark_draining(helper.make_replica(3), now)
+                routers[0].directory.mark_draining(
+                    helper.make_replica(3), now, 0
+                )
                 await asyncio.sleep(1.5)
                 others = routers[1:]
                 self.assertTrue(all(router.avoids(3) for router in others))
