--- a/agatedock/native/client_api.py
+++ b/agatedock/native/client_api.py
@@ -19,6 +19,7 @@
 from agatedock.native import native_dialect
 from agatedock.native import settings
 from agatedock.serving import access_log
+from agatedock.serving import authorization
 from agatedock.serving import dialect
 from agatedock.serving import downstream
 from agatedock.serving import frontend
@@ -217,7 +218,7 @@
         if current is None:
             raise request_errors.RequestError(
                 request_errors.ErrorCode.NO_CONFIGURATION,
-                retry_after_s=request_handler.CONFIGURATION_RETRY_AFTER_S,
+                retry_after_s=authorization.CONFIGURATION_RETRY_AFTER_S,
             )
         return current
 
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -21,6 +21,7 @@
 from agatedock.domain import replicas
 from agatedock.domain import requests
 from agatedock.serving import access_log
+from agatedock.serving import authorization
 from agatedock.serving import crash_guard
 from agatedock.serving import dialect
 from agatedock.serving import downstream
@@ -34,11 +35,6 @@
 
 # Retry-After when the request failed but another attempt may succeed.
 DEFAULT_RETRY_AFTER_S = 0.3
-# Retry-After when there is no configuration or it is too old.
-CONFIGURATION_RETRY_AFTER_S = 1.0
-# How long a request waits for the first configuration after the router has
-# started. The configuration usually arrives within 50 ms.
-CONFIGURATION_WAIT_S = 0.6
 # Timeout for a response head, and for a body that is not streamed, as a
 # multiple of the target latency. After it, an idempotent request is retried on
 # another replica; other requests have no such timeout.
@@ -86,7 +82,7 @@
     async def handle(self) -> None:
         """Serves the request and sends its final response to the client."""
         try:
-            await self._wait_for_configuration()
+            await authorization.wait_for_configuration(self._shared)
             route, account = self._authorize()
             remaining_s = self._get_remaining_s(route)
             async with asyncio.timeout(max(0.0, remaining_s)):
@@ -135,18 +131,6 @@
             response.status, response.headers, response.body
         )
 
-    async def _wait_for_configuration(self) -> None:
-        """Waits briefly for the first configuration after a start."""
-        configured = self._shared.configured
-        if configured.is_set():
-            return
-        try:
-            async with asyncio.timeout(CONFIGURATION_WAIT_S):
-                await configured.wait()
-        except TimeoutError:
-            # `_authorize` rejects the request with a Retry-After.
-            return
-
     @property
     def _configuration(self) -> configuration.Configuration:
         """Returns the applied configuration; only valid after `_authorize`."""
@@ -160,48 +144,12 @@
         """Returns the route of the request and the client account.
 
         Raises:
-          request_errors.RequestError: There is no configuration or no route,
-            the configuration is too old, or the key is unknown.
+          request_errors.RequestError: The request is not allowed, or that is
+            not known.
         """
-        view = self._shared.configuration_view
-        config = view.current
-        now = self._shared.now()
-        if config is None:
-            raise request_errors.RequestError(
-                request_errors.ErrorCode.NO_CONFIGURATION,
-                retry_after_s=CONFIGURATION_RETRY_AFTER_S,
-            )
-        self.log_entry.revision = view.revision
-        self.log_entry.proof_age_s = view.age_s(now)
-        route = config.find_route(self._request)
-        if route is None:
-            self._check_configuration_age(now)
-            raise request_errors.RequestError(request_errors.ErrorCode.NO_ROUTE)
-        self.log_entry.route = route.name
-        if not config.requires_account(route):
-            return route, configuration.ANONYMOUS
-        self._check_configuration_age(now)
-        account = config.find_account(self._request.account_key)
-        if account is None:
-            raise request_errors.RequestError(
-                request_errors.ErrorCode.UNKNOWN_KEY
-            )
-        self.log_entry.account = account.name
-        return route, account
-
-    def _check_configuration_age(self, now: float) -> None:
-        """Rejects the request if the configuration is too old.
-
-        Raises:
-          request_errors.RequestError: The configuration was last confirmed as
-            newest longer ago than the limit, so a key may have been revoked.
-        """
-        age_s = self._shared.configuration_view.age_s(now)
-        if age_s > self._shared.timeouts.configuration_max_age_s:
-            raise request_errors.RequestError(
-                request_errors.ErrorCode.STALE_CONFIGURATION,
-                retry_after_s=CONFIGURATION_RETRY_AFTER_S,
-            )
+        return authorization.authorize(
+            self._shared, self._request, self.log_entry, self._shared.now()
+        )
 
     def _get_remaining_s(self, route: configuration.Route) -> float:
         """Returns the seconds until the client or the route times out."""
