Let evidence about prompt parts expire at all routers

By reading: a router that had dropped expired evidence took it from a peer as new, so it would have lived for ever, and a router that refused no request forgot it while others did. The time of the last crash or refusal is sent with the evidence, and what has expired is not taken. test_evidence_that_peers_tell_each_other_expires fails before.

--- a/agatedock/peers/evidence_exchange.py
+++ b/agatedock/peers/evidence_exchange.py
@@ -33,8 +33,8 @@
 REPORTS_PER_MESSAGE_MAX = 60
 # Part of the bandwidth budget that is left for reservations.
 RESERVED_BYTES = endpoint.BURST_MAX_BYTES / 4
-# Accepted age of evidence; older evidence would have expired.
-AGE_MAX_S = crash_evidence.EXPIRY_S
+# Ages are limited to one at which evidence has expired for certain.
+AGE_MAX_S = 100 * crash_evidence.EXPIRY_S
 _MS_PER_S = 1000
 
 
@@ -173,6 +173,7 @@
             messages.BeginReport(version_hash, _to_age_ms(at, now))
             for version_hash, at in known.begun_at.items()
         ],
+        _to_age_ms(known.used_at, now),
     )
 
 
@@ -194,6 +195,7 @@
             begin.version_hash: now - _to_age_s(begin.age_ms)
             for begin in report.begins[-crash_evidence.CRASHES_PER_PART_MAX :]
         },
+        now - _to_age_s(report.used_age_ms),
     )
 
 
--- a/agatedock/peers/messages.py
+++ b/agatedock/peers/messages.py
@@ -164,11 +164,13 @@
       part_hash: 64-bit hash of the part's id.
       crashes: Crashes that the part may have caused.
       begins: Answers on the part.
+      used_age_ms: Time since a replica crashed or a request was refused.
     """
 
     part_hash: int
     crashes: list[CrashReport]
     begins: list[BeginReport]
+    used_age_ms: int = 0
 
 
 class CrashEvidence(msgspec.Struct, array_like=True, frozen=True, tag=7):
--- a/agatedock/serving/crash_guard.py
+++ b/agatedock/serving/crash_guard.py
@@ -93,7 +93,7 @@
     def _make_error(
         self, cause: quarantine.Cause, now: float
     ) -> request_errors.RequestError:
-        self._shared.crash_evidence.record_refusal(cause.part_hash, now)
+        self._shared.crash_evidence.record_use(cause.part_hash, now)
         part_id = self._get_part_id(cause.part_hash)
         self._log_entry.quarantined_part = part_id
         return request_errors.RequestError(
--- a/agatedock/views/crash_evidence.py
+++ b/agatedock/views/crash_evidence.py
@@ -64,15 +64,20 @@
       crashes: Crashes of replicas that may have been caused by it.
       begun_at: When an answer on it last began, in seconds, by hash of the
         version of the replica's software.
+      used_at: When a replica last crashed or a request was refused, in
+        seconds.
     """
 
     part_hash: int
     crashes: tuple[Crash, ...]
     begun_at: Mapping[int, float]
+    used_at: float
 
 
 @dataclasses.dataclass(slots=True)
 class _Record:
+    """Evidence about one part: crashes by run, begins by version."""
+
     crashes: dict[int, Crash] = dataclasses.field(default_factory=dict)
     begun_at: dict[int, float] = dataclasses.field(default_factory=dict)
     used_at: float = 0.0
@@ -166,22 +171,26 @@
         version_hash = hashing.hash_name(replica.version)
         crash = Crash(hash_run(replica), version_hash, now)
         for part_hash in part_hashes:
-            self._add_crash(part_hash, crash, now)
+            self._add_crash(part_hash, crash)
+            self.record_use(part_hash, now)
         self._limit_records()
 
-    def record_refusal(self, part_hash: int, now: float) -> None:
-        """Records that a request with a part was refused."""
+    def record_use(self, part_hash: int, at: float) -> None:
+        """Records when evidence about a part was last added or needed."""
         record = self._records.get(part_hash)
         if record is not None:
-            record.used_at = now
+            record.used_at = max(record.used_at, at)
 
     def merge(self, news: Iterable[PartEvidence], now: float) -> None:
-        """Merges evidence from another router."""
+        """Merges evidence from another router, unless it has expired."""
         for evidence in news:
+            if now - evidence.used_at > EXPIRY_S:
+                continue
             for crash in evidence.crashes:
-                self._add_crash(evidence.part_hash, crash, now)
+                self._add_crash(evidence.part_hash, crash)
             for version_hash, at in evidence.begun_at.items():
                 self._merge_begin(evidence.part_hash, version_hash, at)
+            self.record_use(evidence.part_hash, evidence.used_at)
         self._limit_records()
 
     def _merge_begin(
@@ -193,41 +202,36 @@
         if part_hash in self._records:
             self._clear(part_hash, version_hash, at)
 
-    def _add_crash(self, part_hash: int, crash: Crash, now: float) -> None:
-        version_hash = crash.version_hash
+    def _add_crash(self, part_hash: int, crash: Crash) -> None:
         record = self._records.get(part_hash)
         known = None if record is None else record.crashes.get(crash.run_hash)
         # Another router may have noticed the same crash earlier.
         if known is not None and known.at <= crash.at:
             return
-        begun_at = self._begun_at.get((part_hash, version_hash))
-        if record is not None:
-            begun_at = max(
-                begun_at or float("-inf"),
-                record.begun_at.get(version_hash, float("-inf")),
-            )
-        if begun_at is not None and crash.at <= begun_at + CLEARED_BEFORE_S:
+        key = part_hash, crash.version_hash
+        begun_at = self._begun_at.get(key, float("-inf"))
+        if crash.at <= begun_at + CLEARED_BEFORE_S:
             if begun_at >= crash.at:
                 # The router that told of the crash does not know of the begin.
-                self._note_begin(part_hash, version_hash, begun_at, now)
+                self._announce_begin(part_hash, crash.version_hash, begun_at)
             return
         if record is None:
             record = self._records[part_hash] = _Record()
         record.crashes[crash.run_hash] = crash
         _remember(self._crashed_at, crash.run_hash, crash.at, RUNS_MAX)
         self._check_crash(crash.run_hash)
-        record.used_at = max(record.used_at, now)
         while len(record.crashes) > CRASHES_PER_PART_MAX:
             oldest = min(record.crashes.values(), key=lambda item: item.at)
             del record.crashes[oldest.run_hash]
         if known is None:
             self.changed_parts.add(part_hash)
 
-    def _note_begin(
-        self, part_hash: int, version_hash: int, begun_at: float, now: float
+    def _announce_begin(
+        self, part_hash: int, version_hash: int, begun_at: float
     ) -> None:
+        """Lets other routers know that an answer on a part began."""
         record = self._records.setdefault(part_hash, _Record())
-        record.used_at = max(record.used_at, now)
+        record.used_at = max(record.used_at, begun_at)
         if record.begun_at.get(version_hash, float("-inf")) < begun_at:
             record.begun_at[version_hash] = begun_at
             self.changed_parts.add(part_hash)
@@ -285,6 +289,7 @@
             part_hash,
             tuple(self.list_crashes(part_hash)),
             dict(record.begun_at),
+            record.used_at,
         )
 
     def drop_expired(self, now: float) -> None:
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -160,10 +160,29 @@
     def test_evidence_expires_unless_requests_are_refused(self):
         evidence = make_evidence(3 * [{DEADLY, OTHER}])
         later = NOW + crash_evidence.EXPIRY_S
-        evidence.record_refusal(DEADLY, later)
+        evidence.record_use(DEADLY, later)
         evidence.drop_expired(later + 10)
         self.assertEqual(evidence.list_parts(), [DEADLY])
 
+    def test_evidence_that_peers_tell_each_other_expires(self):
+        tables = [make_evidence(3 * [{DEADLY}]) for _ in range(3)]
+        now = NOW
+        while now < NOW + 2 * crash_evidence.EXPIRY_S:
+            now += 50
+            for table, other in itertools.permutations(tables, 2):
+                known = other.describe(DEADLY)
+                table.merge([known] if known else [], now)
+                table.drop_expired(now)
+        self.assertEqual([table.list_parts() for table in tables], 3 * [[]])
+
+    def test_refusal_at_one_router_keeps_the_evidence_of_all(self):
+        first, second = (make_evidence(3 * [{DEADLY}]) for _ in range(2))
+        later = NOW + crash_evidence.EXPIRY_S
+        first.record_use(DEADLY, later)
+        second.merge([first.describe(DEADLY)], later)
+        second.drop_expired(later + 10)
+        self.assertEqual(len(second.list_crashes(DEADLY)), 3)
+
     def test_peer_cannot_accuse_a_part_on_which_answers_began_since(self):
         evidence = crash_evidence.CrashEvidence()
         evidence.record_begin([ROOT], "", NOW)
