Disprove a crash only by data on a connection that was opened before it

Their logs show routers that knew 3 of the 7 crashes that others knew, for good: replicas were back 1.5 s after a crash, under the same id and address, and their answers, within the two seconds allowed, counted as data of the run that had crashed. A connection cannot outlive its process, so only data on an older one shows that a run is alive. Such data no longer disproves a later crash of the same run.

test_later_run_does_not_disprove_a_crash and test_replica_that_crashes_after_a_reset_has_crashed fail before.

--- a/agatedock/serving/crash_guard.py
+++ b/agatedock/serving/crash_guard.py
@@ -35,6 +35,7 @@
         self._part_hashes = crash_evidence.hash_parts(request)
         self._replica: replicas.Replica
         self._run_hash = 0
+        self._connected_at = 0.0
         # Whether a replica crashed at an earlier attempt.
         self._crashed = False
         # Whether the answer of the present attempt has begun.
@@ -114,17 +115,29 @@
         self._run_hash = crash_evidence.hash_run(replica)
         self._begun = False
 
-    def record_head(self, now: float) -> None:
-        """Records that the replica has sent a response head."""
-        self._shared.crash_evidence.record_activity(self._run_hash, now)
+    def record_head(self, connected_at: float, now: float) -> None:
+        """Records that the replica has sent a response head.
+
+        Args:
+          connected_at: When its connection was opened, in seconds.
+          now: Present time in seconds.
+        """
+        self._connected_at = connected_at
+        self._record_activity(now)
+
+    def _record_activity(self, now: float) -> None:
+        self._shared.crash_evidence.record_activity(
+            self._run_hash, self._connected_at, now
+        )
 
     def record_data(self, now: float) -> None:
         """Records that a part of the answer has arrived."""
-        evidence = self._shared.crash_evidence
-        evidence.record_activity(self._run_hash, now)
+        self._record_activity(now)
         if not self._begun:
             self._begun = True
-            evidence.record_begin(self._part_hashes, self._replica.version, now)
+            self._shared.crash_evidence.record_begin(
+                self._part_hashes, self._replica.version, now
+            )
 
     def record_lost_connection(self, attempt: int, now: float) -> None:
         """Records that the attempt ended with its connection.
--- a/agatedock/serving/replica_client.py
+++ b/agatedock/serving/replica_client.py
@@ -12,6 +12,7 @@
 import yarl
 
 from agatedock import addresses
+from agatedock import clock
 from agatedock import logs
 from agatedock.decisions import retries
 from agatedock.serving import dialect
@@ -58,6 +59,12 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._is_awaited = False
+        # On the steady clock, in seconds.
+        self.connected_at = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.connected_at = clock.read_steady_s()
+        super().connection_made(transport)
 
     def set_response_params(self, **options: Any) -> None:
         self._is_awaited = True
@@ -93,6 +100,10 @@
         self._connection_protocol = connection.protocol
         return await super().start(connection)
 
+    def get_connected_at(self) -> float:
+        """Returns when the connection was opened, in seconds."""
+        return self._connection_protocol.connected_at
+
     def discard_connection(self) -> None:
         """Closes the connection, also if it was given back already."""
         if self._connection_protocol is not None:
@@ -174,6 +185,11 @@
         except (aiohttp.ClientError, OSError) as error:
             raise AttemptError(retries.Outcome.BROKEN, repr(error)) from error
 
+    def get_connected_at(self, response: aiohttp.ClientResponse) -> float:
+        """Returns when a response's connection was opened, in seconds."""
+        assert isinstance(response, _Response)
+        return response.get_connected_at()
+
     def discard_connection(self, response: aiohttp.ClientResponse) -> None:
         """Closes the connection of a response that belongs to no request.
 
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -524,7 +524,8 @@
         now = shared.now()
         shared.health.record_activity(replica.replica_id, now)
         if kind in _KINDS_OF_THE_REPLICA:
-            self._guard.record_head(now)
+            connected_at = shared.replica_client.get_connected_at(response)
+            self._guard.record_head(connected_at, now)
         notice = notices.heed_notice(shared, self._request, replica, response)
         if kind is dialect.ResponseKind.MISDIRECTED:
             # Another replica now has the address; the next listing shows it.
--- a/agatedock/views/crash_evidence.py
+++ b/agatedock/views/crash_evidence.py
@@ -2,8 +2,8 @@
 
 When a replica crashes, each request there whose answer had not begun may be the
 cause, by any part of its prompt but the last, which no other request has. A
-part is cleared by an answer that begins on it. A crash is disproved if the same
-run of the replica sends data later.
+part is cleared by an answer that begins on it. A crash is disproved by later
+data on a connection that was opened before it.
 """
 
 from __future__ import annotations
@@ -30,12 +30,10 @@
 CLEARED_EXPIRY_S = 10.0
 # An answer that began this long before a crash also clears its parts.
 CLEARED_BEFORE_S = 1.0
-# Data that arrives in this interval after the end of a connection disproves a
-# crash. Earlier, data may be read that was received before; later, another run
-# that is not listed yet may answer for the one that crashed.
+# Data that arrives later than this after the end of a connection disproves a
+# crash. Earlier, data may be read that was received before.
 DISPROVED_AFTER_S = 0.15
-DISPROVED_UNTIL_S = 2.0
-# Parts and runs whose latest begin and latest data are remembered.
+# Parts whose latest begin, and crashed runs, that are remembered.
 BEGINS_MAX = 2000
 RUNS_MAX = 1000
 
@@ -112,31 +110,37 @@
         self._begun_at: collections.OrderedDict[tuple[int, int], float] = (
             collections.OrderedDict()
         )
-        # Latest data of each run, and the end of each run that crashed.
-        self._active_at: collections.OrderedDict[int, float] = (
-            collections.OrderedDict()
-        )
+        # When runs crashed, and when data showed that they had not.
         self._crashed_at: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
-        self._disproved_runs: collections.OrderedDict[int, float] = (
+        self._alive_at: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
         self.changed_parts: set[int] = set()
 
-    def record_activity(self, run_hash: int, now: float) -> None:
-        """Records that a run of a replica sent data."""
-        _remember(self._active_at, run_hash, now, RUNS_MAX)
-        if run_hash in self._crashed_at:
-            self._check_crash(run_hash)
+    def record_activity(
+        self, run_hash: int, connected_at: float, now: float
+    ) -> None:
+        """Records that a replica sent data.
 
-    def _check_crash(self, run_hash: int) -> None:
-        """Disproves a crash if the run sent data after it."""
-        crashed_at = self._crashed_at[run_hash]
-        active_at = self._active_at.get(run_hash, float("-inf"))
-        elapsed_s = active_at - crashed_at
-        if DISPROVED_AFTER_S < elapsed_s <= DISPROVED_UNTIL_S:
-            _remember(self._disproved_runs, run_hash, active_at, RUNS_MAX)
+        Args:
+          run_hash: Hash of the run that the request was sent to. A later run
+            may answer for it, but only on a connection that was opened later.
+          connected_at: When the connection was opened, in seconds.
+          now: Present time in seconds.
+        """
+        crashed_at = self._crashed_at.get(run_hash)
+        if (
+            crashed_at is not None
+            and connected_at < crashed_at
+            and now > crashed_at + DISPROVED_AFTER_S
+        ):
+            _remember(self._alive_at, run_hash, now, RUNS_MAX)
+
+    def _is_disproved(self, crash: Crash) -> bool:
+        alive_at = self._alive_at.get(crash.run_hash, float("-inf"))
+        return alive_at > crash.at + DISPROVED_AFTER_S
 
     def record_begin(
         self, part_hashes: Iterable[int], version: str, now: float
@@ -203,10 +207,16 @@
             self._clear(part_hash, version_hash, at)
 
     def _add_crash(self, part_hash: int, crash: Crash) -> None:
+        if self._is_disproved(crash):
+            return
         record = self._records.get(part_hash)
         known = None if record is None else record.crashes.get(crash.run_hash)
         # Another router may have noticed the same crash earlier.
-        if known is not None and known.at <= crash.at:
+        if (
+            known is not None
+            and known.at <= crash.at
+            and not self._is_disproved(known)
+        ):
             return
         key = part_hash, crash.version_hash
         begun_at = self._begun_at.get(key, float("-inf"))
@@ -219,7 +229,6 @@
             record = self._records[part_hash] = _Record()
         record.crashes[crash.run_hash] = crash
         _remember(self._crashed_at, crash.run_hash, crash.at, RUNS_MAX)
-        self._check_crash(crash.run_hash)
         while len(record.crashes) > CRASHES_PER_PART_MAX:
             oldest = min(record.crashes.values(), key=lambda item: item.at)
             del record.crashes[oldest.run_hash]
@@ -273,7 +282,7 @@
         return [
             crash
             for crash in record.crashes.values()
-            if crash.run_hash not in self._disproved_runs
+            if not self._is_disproved(crash)
         ]
 
     def list_parts(self) -> list[int]:
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -74,13 +74,24 @@
     def test_replica_that_sends_data_afterwards_has_not_crashed(self):
         evidence = make_evidence(3 * [{DEADLY}])
         run = crash_evidence.hash_run(helper.make_replica(0))
-        evidence.record_activity(run, NOW + 1)
+        evidence.record_activity(run, NOW - 1, NOW + 1)
         self.assertEqual(len(evidence.list_crashes(DEADLY)), 2)
 
+    def test_replica_that_crashes_after_a_reset_has_crashed(self):
+        evidence = crash_evidence.CrashEvidence()
+        replica = helper.make_replica(1)
+        run = crash_evidence.hash_run(replica)
+        evidence.record_crash([DEADLY], replica, NOW)
+        evidence.record_activity(run, NOW - 1, NOW + 1)
+        self.assertEqual(evidence.list_crashes(DEADLY), [])
+        evidence.record_crash([DEADLY], replica, NOW + 2)
+        self.assertEqual(len(evidence.list_crashes(DEADLY)), 1)
+
     def test_later_run_does_not_disprove_a_crash(self):
+        """It answers under the id and address of the one that is listed."""
         evidence = make_evidence(3 * [{DEADLY}])
         run = crash_evidence.hash_run(helper.make_replica(0))
-        evidence.record_activity(run, NOW + 3)
+        evidence.record_activity(run, NOW + 1, NOW + 1.5)
         self.assertEqual(len(evidence.list_crashes(DEADLY)), 3)
 
     def test_retry_is_refused_after_the_second_crash(self):
