--- a/agatedock/decisions/quarantine.py
+++ b/agatedock/decisions/quarantine.py
@@ -27,7 +27,7 @@
 # The same if replicas with another version crashed on it before.
 OTHER_VERSION_CRASHES_MIN = 1
 # A part with so many crashes is quarantined even if another one explains them.
-UNEXPLAINED_CRASHES = 12
+EXPLAINED_CRASHES_LIMIT = 12
 # Crashes that another part need not have to explain the rest, if answers on the
 # part began before. A replica may also have crashed for another reason.
 UNEXPLAINED_MAX = 1
@@ -112,7 +112,7 @@
         unexplained_max = 0
         if not is_retry and evidence.has_begun(part_hash, version_hash):
             unexplained_max = UNEXPLAINED_MAX
-        if len(runs) < UNEXPLAINED_CRASHES and _is_explained(
+        if len(runs) < EXPLAINED_CRASHES_LIMIT and _is_explained(
             runs, own_parts, version_hash, unexplained_max, evidence
         ):
             continue
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -103,7 +103,7 @@
     def test_parts_that_always_crash_together_are_refused_in_the_end(self):
         """A client cannot keep a part in use by a second one beside it."""
         evidence = make_evidence(
-            quarantine.UNEXPLAINED_CRASHES * [{DEADLY, OTHER}]
+            quarantine.EXPLAINED_CRASHES_LIMIT * [{DEADLY, OTHER}]
         )
         self.assertEqual(self.find([DEADLY], evidence), DEADLY)
 
