Refuse a part only for crashes that a part of more crashes does not explain

The log shows a sound part (b2) that was refused at all routers for 60 s: with three replicas that crash within seconds it had been in four crashes without an answer in between, of which the deadly part, with more crashes, explained all but two. What such a part does not explain must now itself be three crashes.

--- a/agatedock/decisions/quarantine.py
+++ b/agatedock/decisions/quarantine.py
@@ -135,10 +135,11 @@
         if part_hash in own_parts:
             continue
         others = evidence.list_crashed_runs(part_hash, version_hash)
-        if (
-            len(others) >= EXPLAINING_MIN
-            and len(runs - others) <= unexplained_max
-        ):
+        unexplained = len(runs - others)
+        if len(others) >= EXPLAINING_MIN and unexplained <= unexplained_max:
+            return True
+        # What a part of more crashes does not explain must itself suffice.
+        if len(others) > len(runs) and unexplained < CRASHES_MIN:
             return True
     return False
 
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -58,6 +58,14 @@
         self.assertIsNone(self.find([ROOT], evidence))
         self.assertIsNotNone(self.find([ROOT, DEADLY], evidence))
 
+    def test_part_of_fewer_crashes_needs_enough_that_are_unexplained(self):
+        """A sound part was in some crashes of the deadly one and in others."""
+        crashes = [*3 * [{DEADLY}], *2 * [{DEADLY, TOPIC}], *2 * [{TOPIC}]]
+        self.assertIsNone(self.find([ROOT, TOPIC], make_evidence(crashes)))
+        evidence = make_evidence([*crashes, {TOPIC}])
+        self.assertEqual(self.find([ROOT, TOPIC], evidence), TOPIC)
+        self.assertEqual(self.find([ROOT, DEADLY], evidence), DEADLY)
+
     def test_begun_answer_clears_a_part(self):
         evidence = make_evidence(5 * [{ROOT, DEADLY}])
         evidence.record_begin([ROOT], "", NOW + 20)
