Know a run that asks for a pause before it is listed by its start

The log shows a replica that had crashed, whose new run asked for the pause 0.6 s before the listing showed it; the pause was kept for the run before, as the draining notice had been.

--- a/agatedock/decisions/pauses.py
+++ b/agatedock/decisions/pauses.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import dataclasses
 import math
 
 from agatedock import hashing
@@ -17,7 +18,7 @@
 PAUSE_MAX_S = 300.0
 # Pause if the replica's value cannot be read or is negative.
 PAUSE_DEFAULT_S = 1.0
-# Runs of replicas that are remembered; those that end first are dropped.
+# Pauses that are remembered; those that end first are dropped.
 PAUSES_MAX = 1000
 # Time after the end of a pause over which rejected clients are told to return.
 RETURN_SPREAD_S = 0.5
@@ -51,18 +52,43 @@
     return wait_s + RETURN_SPREAD_S * fraction
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pause:
+    """A pause that a replica asked for.
+
+    Attributes:
+      lifetime: The run that was listed then.
+      asked_at_ms: Unix time of its response in milliseconds.
+      ends_at: When the pause ends, in seconds of the router's clock.
+    """
+
+    lifetime: replicas.Lifetime
+    asked_at_ms: int
+    ends_at: float
+
+    def applies_to(self, replica: replicas.Replica) -> bool:
+        """Returns whether a run asked for this pause."""
+        return (
+            replica.lifetime == self.lifetime
+            or replica.may_have_answered_for(self.lifetime, self.asked_at_ms)
+        )
+
+
 class Pauses:
-    """The ends of pauses, by run of a replica.
+    """The pauses that replicas asked for.
 
     A later run under the same id or address is not paused.
     """
 
     def __init__(self) -> None:
-        # In seconds of the router's clock.
-        self._ends_at: dict[replicas.Lifetime, float] = {}
+        self._by_id: dict[str, _Pause] = {}
 
     def record(
-        self, replica: replicas.Replica, pause_s: float, now: float
+        self,
+        replica: replicas.Replica,
+        pause_s: float,
+        now: float,
+        wall_ms: int,
     ) -> None:
         """Records a pause; it does not shorten one that is longer.
 
@@ -70,49 +96,59 @@
           replica: The replica that asked for it.
           pause_s: How long it is to get no requests.
           now: Present time in seconds.
+          wall_ms: Present time in Unix milliseconds.
         """
-        ends_at = max(
-            now + min(PAUSE_MAX_S, pause_s),
-            self._ends_at.get(replica.lifetime, now),
+        ends_at = now + min(PAUSE_MAX_S, pause_s)
+        known = self._by_id.get(replica.replica_id)
+        if known is not None and known.applies_to(replica):
+            ends_at = max(ends_at, known.ends_at)
+        self._by_id[replica.replica_id] = _Pause(
+            replica.lifetime, wall_ms, ends_at
         )
-        self._ends_at[replica.lifetime] = ends_at
-        if len(self._ends_at) > PAUSES_MAX:
+        if len(self._by_id) > PAUSES_MAX:
             self._drop_ended(now)
-        if len(self._ends_at) > PAUSES_MAX:
-            del self._ends_at[min(self._ends_at, key=self._ends_at.__getitem__)]
+        if len(self._by_id) > PAUSES_MAX:
+            del self._by_id[min(self._by_id, key=self._get_end)]
+
+    def _get_end(self, replica_id: str) -> float:
+        return self._by_id[replica_id].ends_at
+
+    def _get_remaining_s(self, replica: replicas.Replica, now: float) -> float:
+        pause = self._by_id.get(replica.replica_id)
+        if pause is None or not pause.applies_to(replica):
+            return 0.0
+        return max(0.0, pause.ends_at - now)
 
     def is_paused(self, replica: replicas.Replica, now: float) -> bool:
         """Returns whether a replica is to get no requests at present."""
-        return now < self._ends_at.get(replica.lifetime, now)
+        return self._get_remaining_s(replica, now) > 0
 
     def list_available(
         self, usable: list[replicas.Replica], now: float
     ) -> list[replicas.Replica]:
         """Returns the replicas that are not paused, in the same order."""
         self._drop_ended(now)
-        if not self._ends_at:
+        if not self._by_id:
             return usable
-        return [item for item in usable if item.lifetime not in self._ends_at]
+        return [item for item in usable if not self.is_paused(item, now)]
 
     def compute_wait_s(
         self, usable: Iterable[replicas.Replica], now: float
     ) -> float:
         """Returns the seconds until the first of some replicas is available."""
-        waits_s = (
-            max(0.0, self._ends_at.get(item.lifetime, now) - now)
-            for item in usable
-        )
+        waits_s = (self._get_remaining_s(item, now) for item in usable)
         return min(waits_s, default=0.0)
 
     def count(self, now: float) -> int:
         """Returns the number of replicas that are paused."""
         self._drop_ended(now)
-        return len(self._ends_at)
+        return len(self._by_id)
 
     def _drop_ended(self, now: float) -> None:
-        if self._ends_at and min(self._ends_at.values()) <= now:
-            self._ends_at = {
-                lifetime: ends_at
-                for lifetime, ends_at in self._ends_at.items()
-                if ends_at > now
-            }
+        ended = [
+            replica_id
+            for replica_id, pause in self._by_id.items()
+            if pause.ends_at <= now
+        ]
+        for replica_id in ended:
+            del self._by_id[replica_id]
--- a/agatedock/domain/replicas.py
+++ b/agatedock/domain/replicas.py
@@ -5,6 +5,11 @@
 import dataclasses
 import enum
 
+# A run that started at most this long before a response, and was not listed
+# yet, may be the one that sent it.
+UNLISTED_MAX_S = 10.0
+_MS_PER_S = 1000
+
 
 class ReplicaState(enum.StrEnum):
     """Whether a replica accepts new requests."""
@@ -60,6 +65,23 @@
         """Returns the run of the replica that this entry describes."""
         return Lifetime(self.replica_id, self.started_at_ms, self.address)
 
+    def may_have_answered_for(
+        self, previous: Lifetime, answered_at_ms: int
+    ) -> bool:
+        """Returns whether this run sent a response in place of another one.
+
+        It did if it had started shortly before at the same address, while the
+        other one was still listed.
+
+        Args:
+          previous: The run that was listed under this id.
+          answered_at_ms: Unix time of the response in milliseconds.
+        """
+        if self.address != previous.address or self.lifetime == previous:
+            return False
+        started_before_s = (answered_at_ms - self.started_at_ms) / _MS_PER_S
+        return 0 <= started_before_s <= UNLISTED_MAX_S
+
     def is_older_than(self, other: Replica) -> bool:
         """Returns whether this entry was written before another of the id."""
         return (self.started_at_ms, self.sequence) < (
--- a/agatedock/serving/notices.py
+++ b/agatedock/serving/notices.py
@@ -52,8 +52,9 @@
         retry_after=(notice.retry_after or "")[:LOGGED_VALUE_CHARS_MAX],
     )
     now = shared.now()
+    wall_ms = clock.read_wall_ms()
     if notice.draining and shared.directory.mark_draining(
-        replica, now, clock.read_wall_ms()
+        replica, now, wall_ms
     ):
         logs.event(
             _log,
@@ -63,7 +64,7 @@
         )
     if notice.retry_after is not None:
         pause_s = _read_pause_s(notice.retry_after, request, replica)
-        shared.pauses.record(replica, pause_s, now)
+        shared.pauses.record(replica, pause_s, now, wall_ms)
     return notice
 
 
--- a/agatedock/views/directory.py
+++ b/agatedock/views/directory.py
@@ -16,10 +16,6 @@
 EXPIRY_GRACE_S = 2.0
 # Lifetimes that are remembered as draining; the oldest are dropped first.
 DRAINING_LIFETIMES_MAX = 1000
-# A run that started at most this long before a response said "draining", and
-# was not listed yet, may be the one that said so.
-UNLISTED_MAX_S = 10.0
-_MS_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,14 +111,14 @@
         was read before, or the run had started shortly before.
         """
         notice = self._draining.get(previous.lifetime)
-        if (
-            notice is None
-            or previous.address != replica.address
-            or previous.lifetime == replica.lifetime
-        ):
+        if notice is None or previous.lifetime == replica.lifetime:
             return
-        started_before_s = (notice.wall_ms - replica.started_at_ms) / _MS_PER_S
-        if notice.at > read_at or 0 <= started_before_s <= UNLISTED_MAX_S:
+        was_listed = notice.at > read_at and (
+            previous.address == replica.address
+        )
+        if was_listed or replica.may_have_answered_for(
+            previous.lifetime, notice.wall_ms
+        ):
             self._record_draining(replica.lifetime, notice)
 
     def _remove_missing(self, now: float) -> list[replicas.Replica]:
--- a/test/test_pauses.py
+++ b/test/test_pauses.py
@@ -54,7 +54,7 @@
         ends_at = NOW
         for gap_s, pause_s in asked:
             now += gap_s
-            view.record(replica, pause_s, now)
+            view.record(replica, pause_s, now, 0)
             ends_at = max(ends_at, now + min(pause_s, pauses.PAUSE_MAX_S))
             self.assertEqual(view.is_paused(replica, now), now < ends_at)
         self.assertFalse(view.is_paused(replica, ends_at))
@@ -62,14 +62,21 @@
 
     def test_new_run_under_the_same_id_is_not_paused(self):
         view = pauses.Pauses()
-        view.record(helper.make_replica(1), 10, NOW)
+        view.record(helper.make_replica(1), 10, NOW, 0)
         restarted = helper.make_replica(1, started_at_ms=2)
         self.assertEqual(view.list_available([restarted], NOW), [restarted])
 
+    def test_run_that_asks_before_it_is_listed_is_paused(self):
+        for started_ms, is_paused in ((7_000, True), (9_000, False)):
+            view = pauses.Pauses()
+            view.record(helper.make_replica(1), 10, NOW, 8_000)
+            restarted = helper.make_replica(1, started_at_ms=started_ms)
+            self.assertEqual(view.is_paused(restarted, NOW + 1), is_paused)
+
     def test_memory_is_bounded(self):
         view = pauses.Pauses()
         for number in range(2 * pauses.PAUSES_MAX):
-            view.record(helper.make_replica(number), 100 + number, NOW)
+            view.record(helper.make_replica(number), 100 + number, NOW, 0)
         self.assertLessEqual(view.count(NOW), pauses.PAUSES_MAX)
 
     def test_rejected_clients_are_spread_after_the_end_of_the_pause(self):
