--- a/review/common.py
+++ b/review/common.py
@@ -508,14 +508,25 @@
             return False
         return first.split(" ")[1] == "200"
 
+    async def _takes_clients(self) -> bool:
+        """Returns whether the process takes connections of clients."""
+        try:
+            _, writer = await asyncio.open_connection(*self.address)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def wait_until_ready(self) -> None:
-        """Waits until the process says that it is ready.
+        """Waits until the process says that it is ready and takes clients.
+
+        It may say that it is ready some milliseconds before it listens.
 
         Raises:
           TimeoutError: It takes too long.
         """
         for _ in range(READY_TRIES):
-            if await self.is_ready():
+            if await self.is_ready() and await self._takes_clients():
                 return
             await asyncio.sleep(0.1)
         raise TimeoutError(f"{self.name} is not ready")
