--- a/review/traffic.py
+++ b/review/traffic.py
@@ -12,6 +12,9 @@
 CHAT_TIMEOUT_MS = 15000
 ORDER_TIMEOUT_MS = 2000
 CLIENT_TIMEOUT_MS = 15000
+# Clients of each kind.
+CHATTERS = 8
+BUYERS = 16
 PAUSE_S = 0.1
 EVENTS = 20
 EVENT_GAP_S = 0.05
@@ -77,7 +80,7 @@
             for number in (1, 2, 3)
         ]
         self.shops = [
-            common.Replica(f"shop-{number}", "shop", self.order)
+            common.Replica(f"shop-{number}", "shop", self.order, slots=16)
             for number in (1, 2)
         ]
 
@@ -255,7 +258,7 @@
     """
     await site.start(common.make_configuration(make_routes()), replicas.all)
     (router,) = site.routers
-    targets = [CHAT_TARGET] * 8 + [ORDER_TARGET] * 8
+    targets = [CHAT_TARGET] * CHATTERS + [ORDER_TARGET] * BUYERS
     callers = [Caller(router, record, target) for target in targets]
     end_at = time.monotonic() + length_s
     tasks = [asyncio.create_task(caller.run(end_at)) for caller in callers]
