--- a/review/3/deadly_part.py
+++ b/review/3/deadly_part.py
@@ -198,6 +198,9 @@
 
 def judge(models: Models, record: common.Record) -> int:
     """Returns the exit code."""
+    for replica in models.replicas:
+        for attempt_id in replica.runs:
+            record.write(f"run at {replica.name}: {attempt_id}")
     record.write(
         f"crashes: {len(models.crashed_at)}; arrivals with the deadly part:"
         f" {len(models.deadly_arrivals)}"
--- a/review/common.py
+++ b/review/common.py
@@ -21,6 +21,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 from standins import store as stores
 
@@ -712,7 +713,13 @@
 
 def run_case(folder: pathlib.Path, case: Case) -> None:
     """Runs a case and exits with its code."""
-    sys.exit(asyncio.run(_run_case(folder, case)))
+    try:
+        code = asyncio.run(_run_case(folder, case))
+    except Exception:  # noqa: BLE001
+        # Python's own exit code would look like a broken rule.
+        traceback.print_exc()
+        code = NOT_RUN
+    sys.exit(code)
 
 
 async def _run_case(folder: pathlib.Path, case: Case) -> int:
