--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -24,6 +24,7 @@
 from agatedock.serving import crash_guard
 from agatedock.serving import dialect
 from agatedock.serving import downstream
+from agatedock.serving import early_closes
 from agatedock.serving import notices
 from agatedock.serving import replica_chooser
 from agatedock.serving import replica_client
@@ -536,7 +537,8 @@
         if kind is dialect.ResponseKind.NOT_RUN:
             if notice.retry_after is None and not notice.rate_limit:
                 shared.health.record_result(replica.replica_id, False, now)
-            return await self._read_rejection(response)
+            self._end_rejection(replica.replica_id, response)
+            return response_forwarder.AttemptFailure(retries.Outcome.NOT_RUN)
         if kind is dialect.ResponseKind.INVALID:
             shared.replica_client.discard_connection(response)
             shared.health.record_result(replica.replica_id, False, now)
@@ -562,15 +564,23 @@
             HEAD_TIMEOUT_MIN_S, HEAD_TIMEOUT_FACTOR * route.target_latency_s
         )
 
-    async def _read_rejection(
-        self, response: aiohttp.ClientResponse
-    ) -> response_forwarder.AttemptFailure:
-        """Reads a rejection, so that its connection can be reused."""
-        try:
-            await response.read()
-        except aiohttp.ClientError:
-            response.close()
-        return response_forwarder.AttemptFailure(retries.Outcome.NOT_RUN)
+    def _end_rejection(
+        self, replica_id: str, response: aiohttp.ClientResponse
+    ) -> None:
+        """Closes the connection of a rejection that is not complete yet.
+
+        The head says all that the router needs. A connection is worth less
+        than the time and memory that the rest of the body may take.
+        """
+        if response.content.is_eof():
+            return
+        self._shared.early_closes.record(
+            self._request.request_id,
+            replica_id,
+            response.content.total_bytes,
+            early_closes.Reason.REJECTION_BODY,
+        )
+        response.close()
 
     def _record_unreachable(self, replica_id: str) -> None:
         self._shared.health.record_unreachable(replica_id, self._shared.now())
--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -286,6 +286,10 @@
         }
         for name, value in gauges.items():
             meters.set_gauge(name, value)
+        for reason, count in self.shared.early_closes.counts.items():
+            meters.set_gauge(
+                "agatedock_responses_cut", count, {"reason": reason}
+            )
 
     def _apply_configuration(self) -> None:
         config = self.shared.configuration_view.current
--- a/agatedock/serving/state.py
+++ b/agatedock/serving/state.py
@@ -18,6 +18,7 @@
 from agatedock.domain import requests
 from agatedock.peers import reservations
 from agatedock.serving import dialect
+from agatedock.serving import early_closes
 from agatedock.serving import replica_client
 from agatedock.views import configuration_view
 from agatedock.views import crash_evidence
@@ -72,6 +73,7 @@
       configured: Set once the first configuration is applied.
       routers: Live routers.
       drain: The shutdown of this router.
+      early_closes: Connections closed before a response was complete.
       reservations: Reservations with the owners of replicas' counts; set by
         the Router, which creates them.
       view: What placement decides from; made of the fields above.
@@ -116,6 +118,9 @@
     drain: draining.Drain = dataclasses.field(
         default_factory=lambda: draining.Drain(draining.NO_TIMES)
     )
+    early_closes: early_closes.EarlyCloses = dataclasses.field(
+        default_factory=early_closes.EarlyCloses
+    )
     reservations: reservations.ReservationService = dataclasses.field(
         init=False
     )
