--- a/agatedock/orders/steward.py
+++ b/agatedock/orders/steward.py
@@ -13,6 +13,7 @@
 import aiohttp
 import pydantic
 
+from agatedock import body_buffers
 from agatedock import errors
 from agatedock import external
 from agatedock import hashing
@@ -26,6 +27,8 @@
 # Stewards that try to acquire the lease of one model.
 CANDIDATES_PER_MODEL = 2
 MINUTE_S = 60.0
+# Largest state of an engine that is read.
+STATE_MAX_BYTES = 64 * 1024
 
 _log = logging.getLogger(__name__)
 
@@ -231,9 +234,10 @@
             async with self._client.get(
                 url, timeout=self._timeout()
             ) as response:
-                return planning.EngineState.model_validate_json(
-                    await response.read()
+                body = await body_buffers.read(
+                    response.content, STATE_MAX_BYTES
                 )
+                return planning.EngineState.model_validate_json(body)
         except (aiohttp.ClientError, TimeoutError, pydantic.ValidationError):
             return None
 
--- a/agatedock/peers/relay.py
+++ b/agatedock/peers/relay.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 import msgspec
 
+from agatedock import body_buffers
 from agatedock import errors
 from agatedock.peers import snapshots
 
@@ -23,6 +24,9 @@
 # Longer than the idle timeout, as a full delta takes longer over a slow link.
 TOTAL_TIMEOUT_S = 2.0
 
+# Many times the listing and configuration of 3,000 replicas.
+LISTING_MAX_BYTES = 16 * 1024 * 1024
+
 # Digits of a 64-bit number.
 NUMBER_DIGITS_MAX = 19
 
@@ -211,7 +215,9 @@
         url = f"http://{address}{LISTING_PATH}"
         try:
             async with self._session.get(url, params=query) as response:
-                body = await response.read()
+                body = await body_buffers.read(
+                    response.content, LISTING_MAX_BYTES
+                )
                 delta = decode_delta(body)
                 # Routers of earlier versions send the age in the body only.
                 age_text = response.headers.get(AGE_HEADER)
--- a/agatedock/serving/early_closes.py
+++ b/agatedock/serving/early_closes.py
@@ -16,6 +16,10 @@
 
     # Its head says all; the rest is not worth the wait.
     REJECTION_BODY = "rejection_body"
+    BODY_TOO_LARGE = "body_too_large"
+    # All bodies that are buffered together exceed their limit.
+    BUFFERS_FULL = "buffers_full"
+    INVALID_STREAM = "invalid_stream"
 
 
 class EarlyCloses:
--- a/agatedock/serving/frontend.py
+++ b/agatedock/serving/frontend.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from agatedock import body_buffers
 from agatedock import logs
 from agatedock.domain import configuration
 from agatedock.serving import downstream
@@ -25,6 +26,10 @@
     idle_timeout_s=60.0,
 )
 HEADERS_MAX = 256
+# Bodies of requests that are held at the same time.
+BODIES_MAX_BYTES = 32 * 1024 * 1024
+# Retry-After if there is no room for another body.
+BUFFERS_FULL_RETRY_AFTER_S = 1.0
 # How long a connection is still read after an early response. Closing it with
 # unread data would reset it, and the client might lose the response.
 LINGERING_TIME_S = 2.0
@@ -40,7 +45,10 @@
     """Downstream of one HTTP request."""
 
     def __init__(
-        self, http_request: web.BaseRequest, should_close: Callable[[], bool]
+        self,
+        http_request: web.BaseRequest,
+        should_close: Callable[[], bool],
+        buffer: body_buffers.Buffer,
     ):
         """Initializes the downstream of a request.
 
@@ -48,7 +56,9 @@
           http_request: The request, with its body not read yet.
           should_close: Returns whether the connection is to be closed after the
             response.
+          buffer: Counts the bytes of the body.
         """
+        self._buffer = buffer
         self._http_request = http_request
         self._should_close = should_close
         self._response: web.StreamResponse | None = None
@@ -65,17 +75,21 @@
         if http_request.headers.get("Expect", "").lower() == "100-continue":
             await http_request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             http_request.writer.output_size = 0
-        chunks: list[bytes] = []
-        size_bytes = 0
         try:
             async with asyncio.timeout(timeout_s):
-                async for chunk in http_request.content.iter_any():
-                    chunks.append(chunk)
-                    size_bytes += len(chunk)
-                    if size_bytes > limit_bytes:
-                        raise request_errors.RequestError(
-                            request_errors.ErrorCode.TOO_LARGE
-                        )
+                return await body_buffers.read_buffered(
+                    http_request.content, limit_bytes, self._buffer
+                )
+        except body_buffers.BodyTooLargeError as error:
+            raise request_errors.RequestError(
+                request_errors.ErrorCode.TOO_LARGE
+            ) from error
+        except body_buffers.BuffersFullError as error:
+            raise request_errors.RequestError(
+                request_errors.ErrorCode.BUFFERS_FULL,
+                str(error),
+                retry_after_s=BUFFERS_FULL_RETRY_AFTER_S,
+            ) from error
         except TimeoutError as error:
             raise request_errors.RequestError(
                 request_errors.ErrorCode.READ_TIMEOUT
@@ -84,7 +98,6 @@
             raise request_errors.RequestError(
                 request_errors.ErrorCode.BAD_REQUEST
             ) from error
-        return b"".join(chunks)
 
     async def send_response(
         self, status: int, headers: list[tuple[str, str]], body: bytes
@@ -238,11 +251,16 @@
 
 
 class Frontend:
-    """Accepts client connections with the limits of the configuration."""
+    """Accepts client connections with the limits of the configuration.
+
+    Attributes:
+      bodies: The bodies of all requests that are served at present.
+    """
 
     def __init__(self, http_handler: HttpHandler) -> None:
         self._http_handler = http_handler
         self._limits = DEFAULT_LIMITS
+        self.bodies = body_buffers.BodyBuffers(BODIES_MAX_BYTES)
         self._servers: list[web.Server] = []
         self._listener: asyncio.Server | None = None
         self._close_after_response = False
@@ -315,8 +333,9 @@
     async def _handle(
         self, http_request: web.BaseRequest
     ) -> web.StreamResponse:
+        buffer = self.bodies.open()
         client = HttpDownstream(
-            http_request, lambda: self._close_after_response
+            http_request, lambda: self._close_after_response, buffer
         )
         try:
             await self._http_handler(http_request, client)
@@ -330,6 +349,8 @@
                 await client.send_response(502, [], b"internal\n")
             else:
                 client.abort()
+        finally:
+            buffer.close()
         connection = http_request.protocol
         assert isinstance(connection, _Connection)
         if (
--- a/agatedock/serving/replica_client.py
+++ b/agatedock/serving/replica_client.py
@@ -24,6 +24,9 @@
 # connections, and a request sent on a closed one has an unknown outcome.
 KEEPALIVE_TIMEOUT_S = 2.0
 HEAD_MAX_BYTES = 32 * 1024
+# Bytes of a body that one connection holds until they are forwarded; reading
+# stops at twice as many.
+BUFFER_BYTES = 32 * 1024
 # A cancel request that takes longer comes too late to save work.
 CANCEL_TIMEOUT_S = 1.0
 # Delays before a cancel is sent again if no response head has arrived yet. The
@@ -277,6 +280,7 @@
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
+        read_bufsize=BUFFER_BYTES,
         max_line_size=HEAD_MAX_BYTES,
         max_field_size=HEAD_MAX_BYTES,
         skip_auto_headers=(
--- a/agatedock/serving/request_errors.py
+++ b/agatedock/serving/request_errors.py
@@ -17,6 +17,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
+    BUFFERS_FULL = "buffers_full"
     HEADERS_TOO_LARGE = "headers_too_large"
     READ_TIMEOUT = "read_timeout"
     DUPLICATE_REQUEST = "duplicate_request"
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -112,6 +112,8 @@
                     code, retry_after_s=DEFAULT_RETRY_AFTER_S
                 )
             )
+        finally:
+            self._forwarder.close()
 
     async def _serve_within(
         self,
--- a/agatedock/serving/response_forwarder.py
+++ b/agatedock/serving/response_forwarder.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from agatedock import body_buffers
 from agatedock.decisions import retries
 from agatedock.domain import configuration
 from agatedock.domain import requests
@@ -14,6 +15,7 @@
 from agatedock.serving import crash_guard
 from agatedock.serving import dialect
 from agatedock.serving import downstream
+from agatedock.serving import early_closes
 from agatedock.serving import sse
 from agatedock.serving import state
 
@@ -69,6 +71,12 @@
         self._delivered_batches: list[bytes] = []
         # The latest events; a complete stream ends with the end marker.
         self._last_batch = b""
+        self._delivered_bytes = 0
+        self._buffer = shared.response_buffers.open()
+
+    def close(self) -> None:
+        """Releases what is held of responses."""
+        self._buffer.close()
 
     @property
     def delivered_events(self) -> bytes:
@@ -118,10 +126,20 @@
         shared = self._shared
         try:
             async with asyncio.timeout(body_timeout_s):
-                body = await _read_body(response)
+                body = await body_buffers.read_buffered(
+                    response.content, RESPONSE_MAX_BYTES, self._buffer
+                )
         except TimeoutError:
             self._record_unreachable(replica_id)
             return AttemptFailure(retries.Outcome.TIMED_OUT)
+        except body_buffers.BodyTooLargeError:
+            return self._cut(
+                replica_id, response, early_closes.Reason.BODY_TOO_LARGE
+            )
+        except body_buffers.BuffersFullError:
+            return self._cut(
+                replica_id, response, early_closes.Reason.BUFFERS_FULL
+            )
         except (aiohttp.ClientError, OSError):
             self._record_unreachable(replica_id)
             return AttemptFailure(retries.Outcome.BROKEN, connection_lost=True)
@@ -172,20 +190,35 @@
                 else last_event_at + idle_timeout_s
             )
             try:
-                async with asyncio.timeout_at(deadline_at):
+                async with asyncio.timeout_at(deadline_at) as timeout:
+                    self._buffer.begin(timeout)
                     chunk = await response.content.readany()
                 batch = self._check_batch(splitter.feed(chunk))
+                self._buffer.resize(
+                    self._delivered_bytes + splitter.partial_bytes
+                )
             except TimeoutError:
+                if self._buffer.is_dropped:
+                    return self._cut(
+                        replica_id, response, early_closes.Reason.BUFFERS_FULL
+                    )
                 self._record_unreachable(replica_id)
                 return AttemptFailure(retries.Outcome.TIMED_OUT)
+            except body_buffers.BuffersFullError:
+                return self._cut(
+                    replica_id, response, early_closes.Reason.BUFFERS_FULL
+                )
             except (aiohttp.ClientError, OSError):
                 self._record_unreachable(replica_id)
                 return AttemptFailure(
                     retries.Outcome.BROKEN, connection_lost=True
                 )
             except sse.InvalidStreamError:
-                self._record_unreachable(replica_id)
-                return AttemptFailure(retries.Outcome.BROKEN)
+                return self._cut(
+                    replica_id, response, early_closes.Reason.INVALID_STREAM
+                )
+            finally:
+                self._buffer.end()
             if batch.data:
                 await self._write_batch(batch)
                 has_events = True
@@ -250,8 +283,26 @@
         self._last_batch = batch.data
         if self._shared.dialect.needs_delivered_events:
             self._delivered_batches.append(batch.data)
+            self._delivered_bytes += len(batch.data)
         await self._client.write(batch.data)
 
+    def _cut(
+        self,
+        replica_id: str,
+        response: aiohttp.ClientResponse,
+        reason: early_closes.Reason,
+    ) -> AttemptFailure:
+        """Closes the connection of a response that is not read to its end."""
+        self._shared.early_closes.record(
+            self._request.request_id,
+            replica_id,
+            response.content.total_bytes,
+            reason,
+        )
+        response.close()
+        self._record_unreachable(replica_id)
+        return AttemptFailure(retries.Outcome.BROKEN)
+
     def _record_unreachable(self, replica_id: str) -> None:
         self._shared.health.record_unreachable(replica_id, self._shared.now())
 
@@ -270,21 +321,3 @@
         "Content-Length" in response.headers
         or "Transfer-Encoding" in response.headers
     )
-
-
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Returns the body.
-
-    Raises:
-      aiohttp.ClientError: It is incomplete or exceeds RESPONSE_MAX_BYTES.
-    """
-    chunks: list[bytes] = []
-    size_bytes = 0
-    async for chunk in response.content.iter_any():
-        chunks.append(chunk)
-        size_bytes += len(chunk)
-        if size_bytes > RESPONSE_MAX_BYTES:
-            raise aiohttp.ClientPayloadError(
-                f"response exceeds {RESPONSE_MAX_BYTES} bytes"
-            )
-    return b"".join(chunks)
--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -281,6 +281,10 @@
             "agatedock_questions_unanswered": (
                 self.shared.reservations.owner_timeouts
             ),
+            "agatedock_request_bodies_bytes": self.frontend.bodies.held_bytes,
+            "agatedock_response_buffers_bytes": (
+                self.shared.response_buffers.held_bytes
+            ),
             "agatedock_peer_bytes_sent": self.endpoint.bytes_sent,
             "agatedock_log_lines_lost": logs.count_lost_lines(),
         }
--- a/agatedock/serving/sse.py
+++ b/agatedock/serving/sse.py
@@ -57,6 +57,11 @@
         self._increasing_ids = increasing_ids
         self._last_number = _parse_number(last_id or "")
 
+    @property
+    def partial_bytes(self) -> int:
+        """Returns the size of the event that is not complete yet."""
+        return len(self._partial_event)
+
     @property
     def at_event_boundary(self) -> bool:
         """Returns whether no partial event is buffered."""
--- a/agatedock/serving/state.py
+++ b/agatedock/serving/state.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from agatedock import body_buffers
 from agatedock import hashing
 from agatedock.decisions import admission
 from agatedock.decisions import draining
@@ -31,6 +32,8 @@
 from agatedock.views import routers
 
 _HASH_RANGE = 2**64
+# Responses and events that are held for clients at the same time.
+RESPONSES_MAX_BYTES = 32 * 1024 * 1024
 
 
 @dataclasses.dataclass
@@ -73,6 +76,7 @@
       configured: Set once the first configuration is applied.
       routers: Live routers.
       drain: The shutdown of this router.
+      response_buffers: Responses and events that are held for clients.
       early_closes: Connections closed before a response was complete.
       reservations: Reservations with the owners of replicas' counts; set by
         the Router, which creates them.
@@ -118,6 +122,9 @@
     drain: draining.Drain = dataclasses.field(
         default_factory=lambda: draining.Drain(draining.NO_TIMES)
     )
+    response_buffers: body_buffers.BodyBuffers = dataclasses.field(
+        default_factory=lambda: body_buffers.BodyBuffers(RESPONSES_MAX_BYTES)
+    )
     early_closes: early_closes.EarlyCloses = dataclasses.field(
         default_factory=early_closes.EarlyCloses
     )
--- a/agatedockplug/kvhttp.py
+++ b/agatedockplug/kvhttp.py
@@ -6,10 +6,12 @@
 
 import aiohttp
 
+from agatedock import body_buffers
 from agatedock import errors
 from agatedock import external
 
 _CALL_TIMEOUT_S = 2.0
+_BODY_MAX_BYTES = 16 * 1024 * 1024
 
 
 @external.key_value_clients.register("http")
@@ -93,6 +95,9 @@
                 data=data,
                 timeout=timeout,
             ) as response:
-                return response.status, await response.read(), response.headers
+                body = await body_buffers.read(
+                    response.content, _BODY_MAX_BYTES
+                )
+                return response.status, body, response.headers
         except (TimeoutError, aiohttp.ClientError) as error:
             raise errors.Unavailable(f"{method} {path}: {error!r}") from error
--- a/agatedockplug/vmhttp.py
+++ b/agatedockplug/vmhttp.py
@@ -8,11 +8,13 @@
 import msgspec
 import pydantic
 
+from agatedock import body_buffers
 from agatedock import errors
 from agatedock import external
 from agatedock import logs
 
 _CALL_TIMEOUT_S = 2.0
+_LIST_MAX_BYTES = 16 * 1024 * 1024
 
 _log = logging.getLogger(__name__)
 
@@ -65,7 +67,9 @@
                     return None
                 if response.status != 200:
                     raise errors.Unavailable(f"status {response.status}")
-                vms = decode_vms(await response.read())
+                vms = decode_vms(
+                    await body_buffers.read(response.content, _LIST_MAX_BYTES)
+                )
                 self._etag = response.headers.get("ETag", "")
                 return vms
         except (TimeoutError, aiohttp.ClientError) as error:
