Limit the work that a peer's bytes cause in one turn (CONFIG)

Cause, from profiles of the router while it happens (py-spy, 5 s each, before): - interim heads: 77% of the time in the read callback of the transport, 46% in the garbage collector, as the library queues each of them. libuv reads up to 32 times 256 KB of one connection in a turn, and the parser takes each block whole. Nothing limited how many informational responses are waited for. - empty lines and short events of a stream: 99 and 95% in the splitter and the check of the lines, on blocks of up to 512 KB. - chunks of one byte: 77% in joining and parsing them within one read. So two faults: no limit on what precedes a final head, and none on the work before others have their turn.

Change: connections (agatedock/connections.py, used for replicas, peers and the store) read blocks of 8 KiB, give up after 32 informational responses or 64 KiB without a final one, and pause all connections to a peer while it has used 5 ms of processing time at once or half of the time in the long run. The splitter and the check of lines use regular expressions and search new bytes only. Empty lines are no events: they neither begin an answer nor reset its timeout. A stream is cut at 16 MiB. What the router cuts is logged and counted (`response_cut`), counts in the replica's health, and is no evidence of a crash. A gauge of the loop's lag (`agatedock_event_loop_lag_seconds`) is logged from 0.25 s on.

--- a/agatedock/body_buffers.py
+++ b/agatedock/body_buffers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import aiohttp
 
@@ -135,10 +137,15 @@
 
 
 async def read_buffered(
-    content: aiohttp.StreamReader, limit_bytes: int, buffer: Buffer
+    read_next: Callable[[], Awaitable[bytes]], limit_bytes: int, buffer: Buffer
 ) -> bytes:
     """Returns a complete body; its bytes are counted until `buffer` is closed.
 
+    Args:
+      read_next: Returns the next bytes of the body; empty at its end.
+      limit_bytes: Largest accepted body.
+      buffer: Counts the bytes.
+
     Raises:
       BodyTooLargeError: It exceeds its limit.
       BuffersFullError: All buffered bodies exceed their limit.
@@ -149,7 +156,7 @@
     try:
         async with asyncio.timeout(None) as timeout:
             buffer.begin(timeout)
-            async for chunk in content.iter_any():
+            while chunk := await read_next():
                 size_bytes += len(chunk)
                 _check_size(size_bytes, limit_bytes)
                 buffer.resize(size_bytes)
--- a/agatedock/peers/relay.py
+++ b/agatedock/peers/relay.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from agatedock import body_buffers
+from agatedock import connections
 from agatedock import errors
 from agatedock.peers import snapshots
 
@@ -181,13 +182,12 @@
     """HTTP client for the listings of peers."""
 
     def __init__(self) -> None:
-        self._session = aiohttp.ClientSession(
+        self._session = connections.make_session(
             timeout=aiohttp.ClientTimeout(
                 total=TOTAL_TIMEOUT_S,
                 sock_connect=IDLE_TIMEOUT_S,
                 sock_read=IDLE_TIMEOUT_S,
             ),
-            cookie_jar=aiohttp.DummyCookieJar(),
         )
 
     async def close(self) -> None:
--- a/agatedock/serving/early_closes.py
+++ b/agatedock/serving/early_closes.py
@@ -20,6 +20,8 @@
     # All bodies that are buffered together exceed their limit.
     BUFFERS_FULL = "buffers_full"
     INVALID_STREAM = "invalid_stream"
+    # Informational responses without a final one.
+    NO_FINAL_HEAD = "no_final_head"
 
 
 class EarlyCloses:
--- a/agatedock/serving/frontend.py
+++ b/agatedock/serving/frontend.py
@@ -78,7 +78,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 return await body_buffers.read_buffered(
-                    http_request.content, limit_bytes, self._buffer
+                    http_request.content.readany, limit_bytes, self._buffer
                 )
         except body_buffers.BodyTooLargeError as error:
             raise request_errors.RequestError(
--- a/agatedock/serving/replica_client.py
+++ b/agatedock/serving/replica_client.py
@@ -4,15 +4,15 @@
 
 import asyncio
 import logging
+import time
 from typing import Any
 
 import aiohttp
-from aiohttp import client_proto
 import multidict
 import yarl
 
 from agatedock import addresses
-from agatedock import clock
+from agatedock import connections
 from agatedock import logs
 from agatedock.decisions import retries
 from agatedock.serving import dialect
@@ -23,19 +23,12 @@
 # Connections that were idle for longer are not reused: replicas close idle
 # connections, and a request sent on a closed one has an unknown outcome.
 KEEPALIVE_TIMEOUT_S = 2.0
-HEAD_MAX_BYTES = 32 * 1024
-# Bytes of a body that one connection holds until they are forwarded; reading
-# stops at twice as many.
-BUFFER_BYTES = 32 * 1024
 # A cancel request that takes longer comes too late to save work.
 CANCEL_TIMEOUT_S = 1.0
 # Delays before a cancel is sent again if no response head has arrived yet. The
 # first cancel goes over another connection and may overtake the request.
 CANCEL_RETRY_DELAYS_S = (0.2, 0.8)
 
-# Lower statuses are informational.
-_FIRST_FINAL_STATUS = 200
-
 _log = logging.getLogger(__name__)
 
 
@@ -44,53 +37,18 @@
 
     Attributes:
       outcome: What is known about the request at the replica.
+      unread_bytes: Bytes of informational responses after which the router
+        closed the connection; 0 if it did not.
     """
 
-    def __init__(self, outcome: retries.Outcome, cause: str):
+    def __init__(
+        self, outcome: retries.Outcome, cause: str, unread_bytes: int = 0
+    ):
         self.outcome = outcome
+        self.unread_bytes = unread_bytes
         super().__init__(f"{outcome}: {cause}")
 
 
-class _ResponseHandler(client_proto.ResponseHandler):
-    """Connection that treats a reset as an incomplete response.
-
-    aiohttp would accept any end of the connection, also a reset, as the end of
-    a body without a length. A response that no request waits for closes the
-    connection, as the next request would take it for its own.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
-        self._is_awaited = False
-        # On the steady clock, in seconds.
-        self.connected_at = 0.0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.connected_at = clock.read_steady_s()
-        super().connection_made(transport)
-
-    def set_response_params(self, **options: Any) -> None:
-        self._is_awaited = True
-        super().set_response_params(**options)
-
-    def feed_data(self, data: Any, size: int = 0) -> None:
-        is_awaited, self._is_awaited = self._is_awaited, False
-        # Informational responses precede the one that is awaited.
-        if is_awaited and data[0].code < _FIRST_FINAL_STATUS:
-            self._is_awaited = True
-        if not is_awaited:
-            self.force_close()
-            self.close()
-            return
-        super().feed_data(data, size)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(str(exc)))
-        super().connection_lost(exc)
-
-
 class _Response(aiohttp.ClientResponse):
     """Response that remembers its connection.
 
@@ -107,6 +65,12 @@
         """Returns when the connection was opened, in seconds."""
         return self._connection_protocol.connected_at
 
+    def record_work(self, elapsed_s: float, now: float) -> None:
+        """Records time spent on what the replica has sent."""
+        peer = self._connection_protocol.peer
+        if peer is not None:
+            peer.record_work(elapsed_s, now)
+
     def discard_connection(self) -> None:
         """Closes the connection, also if it was given back already."""
         if self._connection_protocol is not None:
@@ -121,7 +85,7 @@
     def __init__(self) -> None:
         self._cancel_tasks: set[asyncio.Task[None]] = set()
         self._keepalive_session = _make_session(
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S
+            keepalive_timeout_s=KEEPALIVE_TIMEOUT_S
         )
         self._one_shot_session = _make_session(force_close=True)
 
@@ -185,9 +149,43 @@
             raise AttemptError(
                 retries.Outcome.TIMED_OUT, "no response"
             ) from error
+        except connections.TooManyHeadsError as error:
+            raise AttemptError(
+                retries.Outcome.BROKEN, str(error), error.size_bytes
+            ) from error
         except (aiohttp.ClientError, OSError) as error:
             raise AttemptError(retries.Outcome.BROKEN, repr(error)) from error
 
+    async def read_next(self, response: aiohttp.ClientResponse) -> bytes:
+        """Returns the next bytes of a body, as many as have arrived.
+
+        Raises:
+          aiohttp.ClientError: The body is incomplete.
+        """
+        content = response.content
+        # Waiting takes no processing time, joining many short chunks does.
+        first = await content.read(1)
+        if not first:
+            return b""
+        began_at = time.monotonic()
+        data = first + content.read_nowait()
+        now = time.monotonic()
+        self.record_work(response, now - began_at, now)
+        return data
+
+    def record_work(
+        self, response: aiohttp.ClientResponse, elapsed_s: float, now: float
+    ) -> None:
+        """Records time spent on what a response's replica has sent.
+
+        Args:
+          response: The response.
+          elapsed_s: Time spent in seconds.
+          now: Present time of the event loop in seconds.
+        """
+        assert isinstance(response, _Response)
+        response.record_work(elapsed_s, now)
+
     def get_connected_at(self, response: aiohttp.ClientResponse) -> float:
         """Returns when a response's connection was opened, in seconds."""
         assert isinstance(response, _Response)
@@ -268,27 +266,19 @@
 
 
 def _make_session(**options: Any) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=0, **options)
-    loop = asyncio.get_running_loop()
-    # aiohttp has no public way to set the connection class.
-    connector._factory = lambda: _ResponseHandler(loop)  # type: ignore[assignment]  # noqa: SLF001
-    session = aiohttp.ClientSession(
-        connector=connector,
+    session = connections.make_session(
         response_class=_Response,
         auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
-        read_bufsize=BUFFER_BYTES,
-        max_line_size=HEAD_MAX_BYTES,
-        max_field_size=HEAD_MAX_BYTES,
         skip_auto_headers=(
             "Accept",
             "Accept-Encoding",
             "Content-Type",
             "User-Agent",
         ),
+        **options,
     )
     # Without this, aiohttp retries idempotent methods by itself, outside of the
     # retry budget. There is no public switch for it.
--- a/agatedock/serving/response_forwarder.py
+++ b/agatedock/serving/response_forwarder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import time
 
 import aiohttp
 
@@ -21,6 +22,21 @@
 
 # Largest response of a route without streaming, which is buffered in full.
 RESPONSE_MAX_BYTES = 8 * 1024 * 1024
+# Largest stream; tens of thousands of tokens are some 8 MB of events.
+STREAM_MAX_BYTES = 16 * 1024 * 1024
+
+# Why a body that could not be read was not complete, if the router closed it.
+_CLOSE_REASONS: dict[type[Exception], early_closes.Reason] = {
+    body_buffers.BodyTooLargeError: early_closes.Reason.BODY_TOO_LARGE,
+    body_buffers.BuffersFullError: early_closes.Reason.BUFFERS_FULL,
+    sse.InvalidStreamError: early_closes.Reason.INVALID_STREAM,
+}
+# All errors of reading a body; TimeoutError is an OSError.
+_READ_ERRORS: tuple[type[Exception], ...] = (
+    *_CLOSE_REASONS,
+    aiohttp.ClientError,
+    OSError,
+)
 
 _OK = 200
 _EVENT_STREAM = "text/event-stream"
@@ -127,22 +143,12 @@
         try:
             async with asyncio.timeout(body_timeout_s):
                 body = await body_buffers.read_buffered(
-                    response.content, RESPONSE_MAX_BYTES, self._buffer
+                    lambda: self._shared.replica_client.read_next(response),
+                    RESPONSE_MAX_BYTES,
+                    self._buffer,
                 )
-        except TimeoutError:
-            self._record_unreachable(replica_id)
-            return AttemptFailure(retries.Outcome.TIMED_OUT)
-        except body_buffers.BodyTooLargeError:
-            return self._cut(
-                replica_id, response, early_closes.Reason.BODY_TOO_LARGE
-            )
-        except body_buffers.BuffersFullError:
-            return self._cut(
-                replica_id, response, early_closes.Reason.BUFFERS_FULL
-            )
-        except (aiohttp.ClientError, OSError):
-            self._record_unreachable(replica_id)
-            return AttemptFailure(retries.Outcome.BROKEN, connection_lost=True)
+        except _READ_ERRORS as error:
+            return self._end_attempt(replica_id, response, error)
         self._guard.record_data(shared.now())
         is_success = kind is dialect.ResponseKind.SUCCESS
         shared.health.record_result(replica_id, is_success, shared.now())
@@ -190,41 +196,16 @@
                 else last_event_at + idle_timeout_s
             )
             try:
-                async with asyncio.timeout_at(deadline_at) as timeout:
-                    self._buffer.begin(timeout)
-                    chunk = await response.content.readany()
-                batch = self._check_batch(splitter.feed(chunk))
-                self._buffer.resize(
-                    self._delivered_bytes + splitter.partial_bytes
-                )
-            except TimeoutError:
-                if self._buffer.is_dropped:
-                    return self._cut(
-                        replica_id, response, early_closes.Reason.BUFFERS_FULL
-                    )
-                self._record_unreachable(replica_id)
-                return AttemptFailure(retries.Outcome.TIMED_OUT)
-            except body_buffers.BuffersFullError:
-                return self._cut(
-                    replica_id, response, early_closes.Reason.BUFFERS_FULL
-                )
-            except (aiohttp.ClientError, OSError):
-                self._record_unreachable(replica_id)
-                return AttemptFailure(
-                    retries.Outcome.BROKEN, connection_lost=True
-                )
-            except sse.InvalidStreamError:
-                return self._cut(
-                    replica_id, response, early_closes.Reason.INVALID_STREAM
-                )
-            finally:
-                self._buffer.end()
-            if batch.data:
-                await self._write_batch(batch)
+                batch = await self._read_batch(response, splitter, deadline_at)
+            except _READ_ERRORS as error:
+                return self._end_attempt(replica_id, response, error)
+            if batch is None:
+                break
+            if batch.has_events:
                 has_events = True
                 last_event_at = loop.time()
-            if not chunk:
-                break
+            if batch.data:
+                await self._write_batch(batch)
         if not self._is_complete(splitter, has_events, response):
             self._record_unreachable(replica_id)
             return AttemptFailure(retries.Outcome.BROKEN, connection_lost=True)
@@ -233,6 +214,59 @@
         await self._client.end_stream()
         return None
 
+    async def _read_batch(
+        self,
+        response: aiohttp.ClientResponse,
+        splitter: sse.SseSplitter,
+        deadline_at: float | None,
+    ) -> sse.Batch | None:
+        """Returns the events that the next bytes complete; None at the end.
+
+        Args:
+          response: The response.
+          splitter: Holds the event that is not complete yet.
+          deadline_at: When the next bytes are due, in seconds of the event
+            loop; None if there is no timeout.
+
+        Raises:
+          Exception: One of _READ_ERRORS.
+        """
+        try:
+            async with asyncio.timeout_at(deadline_at) as timeout:
+                self._buffer.begin(timeout)
+                chunk = await self._shared.replica_client.read_next(response)
+        except TimeoutError:
+            if self._buffer.is_dropped:
+                raise body_buffers.BuffersFullError from None
+            raise
+        finally:
+            self._buffer.end()
+        if not chunk:
+            return None
+        if response.content.total_bytes > STREAM_MAX_BYTES:
+            raise body_buffers.BodyTooLargeError
+        began_at = time.monotonic()
+        batch = self._check_batch(splitter.feed(chunk))
+        now = time.monotonic()
+        self._shared.replica_client.record_work(response, now - began_at, now)
+        self._buffer.resize(self._delivered_bytes + splitter.partial_bytes)
+        return batch
+
+    def _end_attempt(
+        self,
+        replica_id: str,
+        response: aiohttp.ClientResponse,
+        error: Exception,
+    ) -> AttemptFailure:
+        """Returns how an attempt failed whose body could not be read."""
+        for error_type, reason in _CLOSE_REASONS.items():
+            if isinstance(error, error_type):
+                return self._cut(replica_id, response, reason)
+        self._record_unreachable(replica_id)
+        if isinstance(error, TimeoutError):
+            return AttemptFailure(retries.Outcome.TIMED_OUT)
+        return AttemptFailure(retries.Outcome.BROKEN, connection_lost=True)
+
     def _is_complete(
         self,
         splitter: sse.SseSplitter,
@@ -276,9 +310,10 @@
         await self._client.start_stream(response.status, headers)
 
     async def _write_batch(self, batch: sse.Batch) -> None:
-        now = self._shared.now()
-        self._log_entry.record_chunk(now)
-        self._guard.record_data(now)
+        if batch.has_events:
+            now = self._shared.now()
+            self._log_entry.record_chunk(now)
+            self._guard.record_data(now)
         self.last_event_id = batch.last_id or self.last_event_id
         self._last_batch = batch.data
         if self._shared.dialect.needs_delivered_events:
--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -29,6 +29,7 @@
 from agatedock.peers import reservations
 from agatedock.serving import downstream
 from agatedock.serving import frontend
+from agatedock.serving import loop_monitor
 from agatedock.serving import reporter
 from agatedock.serving import request_handler
 from agatedock.serving import state
@@ -125,6 +126,7 @@
             self.shared.now,
         )
         self._listing_client = relay.ListingClient()
+        self._loop_monitor = loop_monitor.LoopMonitor()
         self.follower = followers.Follower(
             dependencies.source,
             dependencies.item_decoder,
@@ -174,6 +176,7 @@
             self.shared.reservations.run,
             self._evidence_exchange.run,
             self._draining_exchange.run,
+            self._loop_monitor.run,
         )
         for run_task in (*own_tasks, *extra_tasks):
             self._tasks.append(asyncio.create_task(run_with_restart(run_task)))
@@ -286,6 +289,9 @@
                 self.shared.response_buffers.held_bytes
             ),
             "agatedock_peer_bytes_sent": self.endpoint.bytes_sent,
+            "agatedock_event_loop_lag_seconds": (
+                self._loop_monitor.take_longest_s()
+            ),
             "agatedock_log_lines_lost": logs.count_lost_lines(),
         }
         for name, value in gauges.items():
--- a/agatedock/serving/sse.py
+++ b/agatedock/serving/sse.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
 _EVENT_END = b"\n\n"
-_ID_FIELD = b"id:"
+_ID_FIELD = re.compile(rb"^id:(.*)$", re.MULTILINE)
 # Longest event that is buffered; a stream without event ends would fill memory.
 EVENT_MAX_BYTES = 1 << 20
 # Digits of an id that is compared as a number.
@@ -28,6 +29,11 @@
     data: bytes
     last_id: str | None
 
+    @property
+    def has_events(self) -> bool:
+        """Returns whether the data is more than empty lines."""
+        return bool(self.data.strip(b"\r\n"))
+
 
 class SseSplitter:
     """Splits a stream into complete events; buffers a partial one.
@@ -50,7 +56,7 @@
           sequential_ids: Whether ids must count up by one, from 0.
           increasing_ids: Whether each id must be above the one before.
         """
-        self._partial_event = b""
+        self._partial_event = bytearray()
         self._next_id: int | None = None
         if sequential_ids:
             self._next_id = int(last_id) + 1 if last_id else 0
@@ -74,21 +80,22 @@
           InvalidStreamError: An event is out of sequence or longer than
             EVENT_MAX_BYTES.
         """
-        data = self._partial_event + chunk
-        end = data.rfind(_EVENT_END)
+        # The end of an event may have begun in an earlier chunk.
+        searched_from = max(0, len(self._partial_event) + 1 - len(_EVENT_END))
+        self._partial_event += chunk
+        end = self._partial_event.rfind(_EVENT_END, searched_from)
         if end < 0:
-            if len(data) > EVENT_MAX_BYTES:
+            if len(self._partial_event) > EVENT_MAX_BYTES:
                 raise InvalidStreamError(
                     f"event exceeds {EVENT_MAX_BYTES} bytes"
                 )
-            self._partial_event = data
             return Batch(b"", None)
         end += len(_EVENT_END)
-        events, self._partial_event = data[:end], data[end:]
+        events = bytes(self._partial_event[:end])
+        del self._partial_event[:end]
         ids = [
-            line[len(_ID_FIELD) :].strip().decode("latin-1")
-            for line in events.split(b"\n")
-            if line.startswith(_ID_FIELD)
+            value.strip().decode("latin-1")
+            for value in _ID_FIELD.findall(events)
         ]
         self._check_ids(ids)
         return Batch(events, ids[-1] if ids else None)
--- a/test/test_body_buffers.py
+++ b/test/test_body_buffers.py
@@ -46,7 +46,7 @@
         content.feed_data(b"x" * size_bytes)
         buffer = buffers.open()
         task = asyncio.create_task(
-            body_buffers.read_buffered(content, 1000, buffer)
+            body_buffers.read_buffered(content.readany, 1000, buffer)
         )
         return content, task, buffer
 
