--- a/agatedock/decisions/quarantine.py
+++ b/agatedock/decisions/quarantine.py
@@ -1,11 +1,13 @@
 """Decides whether a request would crash the replica that it is sent to.
 
 Answers the load of requests with one prompt part on which any replica crashes
-as soon as it begins to write an answer. Each crash ends all other requests at
-the replica, and a retry crashes a second one. The parts of all these requests
-are suspects, and sound requests share most of them, so a count of crashes is
-not enough: a part is quarantined if several runs of replicas crashed and no
-other part, which the request does not have, explains these crashes as well.
+while it writes an answer. Each crash ends all other requests at the replica,
+and a retry crashes a second one. The parts of all these requests are suspects,
+and sound requests share most of them, so a count of crashes is not enough: a
+part is quarantined if several runs of replicas crashed and no other part, which
+the request does not have, explains these crashes as well. A part on which an
+answer ended whole before is probably sound: it takes more crashes, and explains
+none of those of a part without any whole answer.
 
 A quarantined part is tried again when replicas run another version of their
 software, and otherwise a few times at growing intervals, by one router.
@@ -19,11 +21,15 @@
 from typing import Protocol
 
 from agatedock.views import crash_evidence
+from agatedock.views import crash_reports
 
 # Crashed runs of replicas from which on a part is quarantined.
 CRASHES_MIN = 3
 # The same for a retry of a request whose first replica crashed.
 RETRY_CRASHES_MIN = 2
+# Both, if an answer on the part ended whole before.
+SOUND_CRASHES_MIN = 6
+SOUND_RETRY_CRASHES_MIN = 4
 # The same if replicas with another version crashed on it before.
 OTHER_VERSION_CRASHES_MIN = 1
 # A part with so many crashes is quarantined even if another one explains them.
@@ -45,7 +51,7 @@
 class Evidence(Protocol):
     """Crashes by prompt part."""
 
-    def list_crashes(self, part_hash: int) -> list[crash_evidence.Crash]:
+    def list_crashes(self, part_hash: int) -> list[crash_reports.Crash]:
         """Returns the crashes that a part may have caused."""
 
     def list_crashed_runs(
@@ -53,9 +59,12 @@
     ) -> frozenset[int]:
         """Returns the runs of one version that a part may have crashed."""
 
-    def has_begun(self, part_hash: int, version_hash: int) -> bool:
+    def has_answered(self, part_hash: int, version_hash: int) -> bool:
         """Returns whether an answer on a part is known to have begun."""
 
+    def has_ended_whole(self, part_hash: int, version_hash: int) -> bool:
+        """Returns whether an answer on a part is known to have ended whole."""
+
     def list_parts(self) -> list[int]:
         """Returns the parts with evidence."""
 
@@ -104,16 +113,26 @@
         if not runs:
             continue
         crashes = evidence.list_crashes(part_hash)
-        crashes_min = RETRY_CRASHES_MIN if is_retry else CRASHES_MIN
-        if len(crashes) - len(runs) >= CRASHES_MIN:
+        is_sound = evidence.has_ended_whole(part_hash, version_hash)
+        crashes_min = _get_crashes_min(is_retry=is_retry, is_sound=is_sound)
+        if not is_sound and len(crashes) - len(runs) >= CRASHES_MIN:
             crashes_min = OTHER_VERSION_CRASHES_MIN
         if len(runs) < crashes_min:
             continue
+        suspects = [
+            other_hash
+            for other_hash in evidence.list_parts()
+            if other_hash not in own_parts
+            and (
+                is_sound
+                or not evidence.has_ended_whole(other_hash, version_hash)
+            )
+        ]
         unexplained_max = 0
-        if not is_retry and evidence.has_begun(part_hash, version_hash):
+        if not is_retry and evidence.has_answered(part_hash, version_hash):
             unexplained_max = UNEXPLAINED_MAX
         if len(runs) < EXPLAINED_CRASHES_LIMIT and _is_explained(
-            runs, own_parts, version_hash, unexplained_max, evidence
+            runs, suspects, version_hash, unexplained_max, evidence
         ):
             continue
         crashed_at = max(crash.at for crash in crashes)
@@ -123,17 +142,22 @@
     return None
 
 
+def _get_crashes_min(*, is_retry: bool, is_sound: bool) -> int:
+    """Returns from how many crashes on a part is quarantined."""
+    if is_sound:
+        return SOUND_RETRY_CRASHES_MIN if is_retry else SOUND_CRASHES_MIN
+    return RETRY_CRASHES_MIN if is_retry else CRASHES_MIN
+
+
 def _is_explained(
     runs: frozenset[int],
-    own_parts: frozenset[int],
+    suspects: Iterable[int],
     version_hash: int,
     unexplained_max: int,
     evidence: Evidence,
 ) -> bool:
-    """Returns whether a part that the request lacks explains some crashes."""
-    for part_hash in evidence.list_parts():
-        if part_hash in own_parts:
-            continue
+    """Returns whether another part explains some crashes."""
+    for part_hash in suspects:
         others = evidence.list_crashed_runs(part_hash, version_hash)
         unexplained = len(runs - others)
         if len(others) >= EXPLAINING_MIN and unexplained <= unexplained_max:
@@ -144,7 +168,7 @@
     return False
 
 
-def _compute_probe_at(crashes: list[crash_evidence.Crash]) -> float:
+def _compute_probe_at(crashes: list[crash_reports.Crash]) -> float:
     """Returns when the next probe is due; infinite after the last one."""
     times = sorted(crash.at for crash in crashes)
     probes = sum(
--- a/agatedock/peers/draining_exchange.py
+++ b/agatedock/peers/draining_exchange.py
@@ -19,7 +19,7 @@
 from agatedock.peers import endpoint
 from agatedock.peers import gossip
 from agatedock.peers import messages
-from agatedock.views import crash_evidence
+from agatedock.views import crash_reports
 from agatedock.views import directory
 from agatedock.views import health
 
@@ -79,7 +79,7 @@
         names = [peer.name for peer in self._peers.list_peers()]
         told, self._directory.told_draining = self._directory.told_draining, []
         for replica in told:
-            self._start(crash_evidence.hash_run(replica), len(names), now)
+            self._start(crash_reports.hash_run(replica), len(names), now)
         run_hashes = list(self._rounds_left)[:RUNS_PER_MESSAGE_MAX]
         if (
             not names
@@ -126,7 +126,7 @@
             return
         # Runs that are not listed here are neither kept nor forwarded.
         for replica in self._directory.list_all():
-            run_hash = crash_evidence.hash_run(replica)
+            run_hash = crash_reports.hash_run(replica)
             if run_hash not in new_hashes:
                 continue
             self._start(run_hash, len(self._peers.list_peers()), now)
--- a/agatedock/peers/evidence_exchange.py
+++ b/agatedock/peers/evidence_exchange.py
@@ -1,10 +1,11 @@
 """Exchanges evidence about prompt parts that crash replicas with peers.
 
 Requests with one part enter at any router, so each sees only some of the
-crashes. News go to one random peer per round and are forwarded for a number of
-rounds that grows with the logarithm of the fleet. A router that was restarted
-gets the parts with several crashes, which are also sent without news. Without
-evidence nothing is sent.
+crashes. In a small fleet news go to each peer once. In a larger one they go to
+one peer per round and are forwarded for a number of rounds that grows with the
+logarithm of the fleet. Suspects of several crashes go first and may use more of
+the bandwidth. A router that was restarted gets the parts with several crashes,
+which are also sent without news. Without evidence nothing is sent.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from agatedock.peers import gossip
 from agatedock.peers import messages
 from agatedock.views import crash_evidence
+from agatedock.views import crash_reports
 
 ROUND_S = 0.05
 # Evidence without news is sent once per interval if a part has this many
@@ -28,13 +30,25 @@
 REPEATED_CRASHES_MIN = 2
 # Rounds in which news are forwarded, in addition to the logarithm of the fleet.
 EXTRA_ROUNDS = 4
-# Limit of one message, which fits into a packet.
+# With at most so many peers, news go to each of them, and are forwarded once
+# as a datagram may be lost.
+SMALL_FLEET_PEERS_MAX = 12
+FORWARD_ROUNDS = 1
+# Parts in one message: few, so that the most urgent reach many peers before the
+# bandwidth budget is spent. More are read, and fit into a packet.
+PARTS_SENT_MAX = 6
 PARTS_PER_MESSAGE_MAX = 12
 REPORTS_PER_MESSAGE_MAX = 60
-# Part of the bandwidth budget that is left for reservations.
+# Crashes from which on the news of a suspect are urgent.
+URGENT_CRASHES_MIN = 2
+# Part of the bandwidth budget that news leave for reservations.
 RESERVED_BYTES = endpoint.BURST_MAX_BYTES / 4
+RESERVED_BY_URGENT_BYTES = endpoint.BURST_MAX_BYTES / 8
 # Ages are limited to one at which evidence has expired for certain.
 AGE_MAX_S = 100 * crash_evidence.EXPIRY_S
+# Answers of one part that are read from a message.
+ANSWERS_PER_PART_MAX = 16
+_ANSWER_KINDS = frozenset(crash_reports.AnswerKind)
 _MS_PER_S = 1000
 
 
@@ -63,6 +77,8 @@
         # Rounds in which the news of a part are still to be sent.
         self._rounds_left: dict[int, int] = {}
         self._repeated_at = float("-inf")
+        # Names of the peers that get the next messages.
+        self._next_names: list[str] = []
         self._random = random.Random(peers.name)
         peer_endpoint.handlers[messages.CrashEvidence] = self
 
@@ -78,27 +94,44 @@
         if not names:
             return
         self._collect_news(len(names))
-        part_hashes = self._choose_news()
+        part_hashes, reserved_bytes = self._choose_news()
         if not part_hashes and now - self._repeated_at >= REPEAT_S:
             self._repeated_at = now
             self._evidence.drop_expired(now)
             part_hashes = self._choose_repeated()
-        if not part_hashes or not self._peer_endpoint.may_send(RESERVED_BYTES):
+        if not part_hashes or not self._peer_endpoint.may_send(reserved_bytes):
             return
         message = self._make_message(part_hashes, now)
         address = self._peers.get_socket_address(
-            hashing.hash_name(self._random.choice(names))
+            hashing.hash_name(self._choose_peer(names))
         )
         if address is not None and message.parts:
             self._peer_endpoint.send(message, address)
         for part_hash in part_hashes:
             self._count_round(part_hash)
 
+    def _choose_peer(self, names: list[str]) -> str:
+        """Returns the next peer; each comes once before one comes again."""
+        while self._next_names:
+            name = self._next_names.pop()
+            if name in names:
+                return name
+        self._next_names = self._random.sample(names, len(names))
+        return self._next_names.pop()
+
     def _collect_news(self, peer_count: int) -> None:
         rounds = EXTRA_ROUNDS + math.ceil(math.log2(peer_count + 1))
+        forward_rounds = rounds
+        if peer_count <= SMALL_FLEET_PEERS_MAX:
+            rounds, forward_rounds = peer_count, FORWARD_ROUNDS
+        for part_hash in self._evidence.learned_parts:
+            self._rounds_left[part_hash] = max(
+                forward_rounds, self._rounds_left.get(part_hash, 0)
+            )
         for part_hash in self._evidence.changed_parts:
             self._rounds_left[part_hash] = rounds
         self._evidence.changed_parts.clear()
+        self._evidence.learned_parts.clear()
 
     def _count_round(self, part_hash: int) -> None:
         left = self._rounds_left.get(part_hash, 0) - 1
@@ -107,11 +140,30 @@
         else:
             self._rounds_left.pop(part_hash, None)
 
-    def _choose_news(self) -> list[int]:
-        """Returns the parts with news, those with the most crashes first."""
-        return sorted(self._rounds_left, key=self._count_crashes, reverse=True)[
-            :PARTS_PER_MESSAGE_MAX
+    def _choose_news(self) -> tuple[list[int], float]:
+        """Returns the parts with the most urgent news.
+
+        Returns:
+          The parts, and the bytes of the budget that their news may not use.
+        """
+        ranks = {
+            part_hash: self._evidence.rank(part_hash)
+            for part_hash in self._rounds_left
+        }
+        ranked = sorted(
+            ranks,
+            key=lambda part_hash: ranks[part_hash].make_key(),
+            reverse=True,
+        )
+        urgent = [
+            part_hash
+            for part_hash in ranked
+            if ranks[part_hash].is_suspect
+            and ranks[part_hash].crashes >= URGENT_CRASHES_MIN
         ]
+        if urgent or not ranked:
+            return urgent[:PARTS_SENT_MAX], RESERVED_BY_URGENT_BYTES
+        return ranked[:PARTS_SENT_MAX], RESERVED_BYTES
 
     def _choose_repeated(self) -> list[int]:
         ranked = sorted(
@@ -135,7 +187,7 @@
             known = self._evidence.describe(part_hash)
             if known is None:
                 continue
-            reports += len(known.crashes) + len(known.begun_at)
+            reports += len(known.crashes) + len(known.answered_at)
             if reports > REPORTS_PER_MESSAGE_MAX:
                 break
             parts.append(_encode_part(known, now))
@@ -159,19 +211,24 @@
 
 
 def _encode_part(
-    known: crash_evidence.PartEvidence, now: float
+    known: crash_reports.PartEvidence, now: float
 ) -> messages.PartReport:
     return messages.PartReport(
         known.part_hash,
         [
             messages.CrashReport(
-                crash.run_hash, crash.version_hash, _to_age_ms(crash.at, now)
+                crash.run_hash,
+                crash.version_hash,
+                _to_age_ms(crash.at, now),
+                _to_lasted_ms(crash.lasted_s),
             )
             for crash in known.crashes
         ],
         [
-            messages.BeginReport(version_hash, _to_age_ms(at, now))
-            for version_hash, at in known.begun_at.items()
+            messages.AnswerReport(
+                key.version_hash, _to_age_ms(at, now), key.kind
+            )
+            for key, at in known.answered_at.items()
         ],
         _to_age_ms(known.used_at, now),
     )
@@ -179,21 +236,25 @@
 
 def _decode_part(
     report: messages.PartReport, now: float
-) -> crash_evidence.PartEvidence:
+) -> crash_reports.PartEvidence:
     """Returns a peer's evidence, with ages that are limited."""
-    return crash_evidence.PartEvidence(
+    return crash_reports.PartEvidence(
         report.part_hash,
         tuple(
-            crash_evidence.Crash(
+            crash_reports.Crash(
                 crash.run_hash,
                 crash.version_hash,
                 now - _to_age_s(crash.age_ms),
+                _to_age_s(crash.lasted_ms),
             )
             for crash in report.crashes[-crash_evidence.CRASHES_PER_PART_MAX :]
         ),
         {
-            begin.version_hash: now - _to_age_s(begin.age_ms)
-            for begin in report.begins[-crash_evidence.CRASHES_PER_PART_MAX :]
+            crash_reports.AnswerKey(
+                answer.version_hash, crash_reports.AnswerKind(answer.kind)
+            ): now - _to_age_s(answer.age_ms)
+            for answer in report.answers[-ANSWERS_PER_PART_MAX:]
+            if answer.kind in _ANSWER_KINDS
         },
         now - _to_age_s(report.used_age_ms),
     )
@@ -203,5 +264,10 @@
     return max(0, round((now - at) * _MS_PER_S))
 
 
+def _to_lasted_ms(lasted_s: float) -> int:
+    """Returns whole milliseconds; 0 only if an answer had not begun."""
+    return math.ceil(lasted_s * _MS_PER_S)
+
+
 def _to_age_s(age_ms: int) -> float:
     return min(AGE_MAX_S, max(0.0, age_ms / _MS_PER_S))
--- a/agatedock/peers/messages.py
+++ b/agatedock/peers/messages.py
@@ -165,23 +165,28 @@
       run_hash: Hash of the run.
       version_hash: Hash of the version of its software.
       age_ms: Time since it ended, when the message was sent.
+      lasted_ms: How long an answer on the part had lasted there; 0 if none had
+        begun.
     """
 
     run_hash: int
     version_hash: int
     age_ms: int
+    lasted_ms: int = 0
 
 
-class BeginReport(msgspec.Struct, array_like=True, frozen=True):
-    """The latest begin of an answer on a prompt part.
+class AnswerReport(msgspec.Struct, array_like=True, frozen=True):
+    """The latest answer on a prompt part.
 
     Attributes:
       version_hash: Hash of the version of the replica's software.
       age_ms: Time since then, when the message was sent.
+      kind: What it shows, a `crash_reports.AnswerKind`.
     """
 
     version_hash: int
     age_ms: int
+    kind: int = 0
 
 
 class PartReport(msgspec.Struct, array_like=True, frozen=True):
@@ -190,13 +195,13 @@
     Attributes:
       part_hash: 64-bit hash of the part's id.
       crashes: Crashes that the part may have caused.
-      begins: Answers on the part.
+      answers: Answers on the part.
       used_age_ms: Time since a replica crashed or a request was refused.
     """
 
     part_hash: int
     crashes: list[CrashReport]
-    begins: list[BeginReport]
+    answers: list[AnswerReport]
     used_age_ms: int = 0
 
 
--- a/agatedock/serving/crash_guard.py
+++ b/agatedock/serving/crash_guard.py
@@ -12,10 +12,12 @@
 from agatedock.serving import access_log
 from agatedock.serving import request_errors
 from agatedock.serving import state
-from agatedock.views import crash_evidence
+from agatedock.views import crash_reports
 
 # Owners are chosen by 32-bit hashes.
 _OWNER_HASH_MASK = 2**32 - 1
+# An answer that has begun has lasted at least this long.
+LASTED_MIN_S = 0.001
 
 _log = logging.getLogger(__name__)
 
@@ -32,14 +34,15 @@
         self._shared = shared
         self._request = request
         self._log_entry = log_entry
-        self._part_hashes = crash_evidence.hash_parts(request)
+        self._part_hashes = crash_reports.hash_parts(request)
         self._replica: replicas.Replica
         self._run_hash = 0
         self._connected_at = 0.0
         # Whether a replica crashed at an earlier attempt.
         self._crashed = False
-        # Whether the answer of the present attempt has begun.
-        self._begun = False
+        # When the answer of the present attempt began; None if it has not.
+        self._begun_at: float | None = None
+        self._is_resumed = False
 
     def select_safe(
         self, available: list[replicas.Replica], now: float
@@ -109,11 +112,20 @@
         part_id = self._request.prompt[at].part_id
         return part_id[: access_log.LOGGED_PART_CHARS_MAX]
 
-    def begin_attempt(self, replica: replicas.Replica) -> None:
-        """Records that an attempt is sent to a replica."""
+    def begin_attempt(
+        self, replica: replicas.Replica, *, is_resumed: bool
+    ) -> None:
+        """Records that an attempt is sent to a replica.
+
+        Args:
+          replica: The replica.
+          is_resumed: Whether it is to write only the rest of an answer, which
+            shows nothing of what comes before.
+        """
         self._replica = replica
-        self._run_hash = crash_evidence.hash_run(replica)
-        self._begun = False
+        self._is_resumed = is_resumed
+        self._run_hash = crash_reports.hash_run(replica)
+        self._begun_at = None
 
     def record_head(self, connected_at: float, now: float) -> None:
         """Records that the replica has sent a response head.
@@ -133,12 +145,25 @@
     def record_data(self, now: float) -> None:
         """Records that a part of the answer has arrived."""
         self._record_activity(now)
-        if not self._begun:
-            self._begun = True
+        version = self._replica.version
+        if self._begun_at is None:
+            self._begun_at = now
             self._shared.crash_evidence.record_begin(
-                self._part_hashes, self._replica.version, now
+                self._part_hashes, version, now
+            )
+        elif not self._is_resumed:
+            self._shared.crash_evidence.record_progress(
+                self._part_hashes, version, now - self._begun_at, now
             )
 
+    def record_whole(self, now: float) -> None:
+        """Records that the answer has ended whole."""
+        if self._is_resumed:
+            return
+        self._shared.crash_evidence.record_whole(
+            self._part_hashes, self._replica.version, now
+        )
+
     def record_lost_connection(self, attempt: int, now: float) -> None:
         """Records that the attempt ended with its connection.
 
@@ -154,11 +179,13 @@
             replica=self._replica.replica_id,
             started_at_ms=self._replica.started_at_ms,
             attempt=attempt,
-            begun=self._begun,
+            begun=self._begun_at is not None,
             parts=self._log_entry.format_parts(),
         )
-        if not self._begun:
-            self._crashed = True
-            self._shared.crash_evidence.record_crash(
-                self._part_hashes, self._replica, now
-            )
+        self._crashed = True
+        lasted_s = 0.0
+        if self._begun_at is not None:
+            lasted_s = max(now - self._begun_at, LASTED_MIN_S)
+        self._shared.crash_evidence.record_crash(
+            self._part_hashes, self._replica, now, lasted_s
+        )
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -474,7 +474,9 @@
         self._attempt_count += 1
         self._head_received = False
         self._sent_at = shared.now()
-        self._guard.begin_attempt(replica)
+        self._guard.begin_attempt(
+            replica, is_resumed=attempt.last_event_id is not None
+        )
         # The request may run from here on, unless the replica says otherwise.
         self._may_have_run = True
         try:
--- a/agatedock/serving/response_forwarder.py
+++ b/agatedock/serving/response_forwarder.py
@@ -149,7 +149,7 @@
                 )
         except _READ_ERRORS as error:
             return self._end_attempt(replica_id, response, error)
-        self._guard.record_data(shared.now())
+        self._guard.record_whole(shared.now())
         is_success = kind is dialect.ResponseKind.SUCCESS
         shared.health.record_result(replica_id, is_success, shared.now())
         headers = shared.dialect.build_response_headers(
@@ -209,7 +209,9 @@
         if not self._is_complete(splitter, has_events, response):
             self._record_unreachable(replica_id)
             return AttemptFailure(retries.Outcome.BROKEN, connection_lost=True)
-        self._shared.health.record_result(replica_id, True, self._shared.now())
+        now = self._shared.now()
+        self._guard.record_whole(now)
+        self._shared.health.record_result(replica_id, True, now)
         self._log_entry.outcome = "answered"
         await self._client.end_stream()
         return None
--- a/agatedock/views/replica_limits.py
+++ b/agatedock/views/replica_limits.py
@@ -16,7 +16,7 @@
 from agatedock import hashing
 from agatedock.decisions import rate_limits
 from agatedock.domain import replicas
-from agatedock.views import crash_evidence
+from agatedock.views import crash_reports
 
 # Runs of replicas that are remembered; the least recent are dropped.
 RUNS_MAX = 1000
@@ -132,7 +132,7 @@
     ) -> None:
         """Records what a peer reports of a run."""
         replica = self._get_by_hash(replica_hash)
-        if replica is None or crash_evidence.hash_run(replica) != run_hash:
+        if replica is None or crash_reports.hash_run(replica) != run_hash:
             return
         evidence = self._find(replica)
         if evidence is None:
@@ -188,7 +188,7 @@
             return 0, None
         evidence = self._find(replica)
         latest = None if evidence is None else evidence.latest
-        return crash_evidence.hash_run(replica), latest
+        return crash_reports.hash_run(replica), latest
 
     def get_rate(self, replica: replicas.Replica) -> float | None:
         """Returns the limit of a replica, None if it has none."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 import multidict
 
+from standins import faults as replica_faults
 from standins import runner
 
 ATTEMPT_ID_HEADER = "X-Agatedock-Attempt-Id"
@@ -22,98 +23,11 @@
 LEAVING_HEADER = "Server-Leaving"
 RATE_LIMIT_HEADER = "Server-Limit"
 
-EVENTS = "text/event-stream"
-
-
-@dataclasses.dataclass(frozen=True)
-class OddResponse:
-    """A response that is written as it is.
-
-    Attributes:
-      has_length: Whether the head has its length; otherwise it ends with the
-        connection.
-    """
-
-    status: int
-    content_type: str
-    body: bytes
-    has_length: bool = False
-
-
-# Answers to a request for the rest of a stream.
-RESUMED_RESPONSES = {
-    "error": OddResponse(500, "text/plain", b"internal error\n\n", True),
-    "unavailable": OddResponse(503, "text/plain", b"busy\n\n", True),
-    "text": OddResponse(200, "text/plain", b"error\n\nsorry\n\n", True),
-    "no content": OddResponse(204, "", b""),
-    "empty without length": OddResponse(200, EVENTS, b""),
-    "text as events": OddResponse(200, EVENTS, b"internal error\n\n"),
-    "head as events": OddResponse(
-        200, EVENTS, b"HTTP/1.1 500 Error\nContent-Type: text/plain\n\n"
-    ),
-    "from the start": OddResponse(200, EVENTS, b"id: 1\ndata: x\n\n"),
-    "end inside an event": OddResponse(200, EVENTS, b"id: 3\ndata: x"),
-}
-
 # Number of bytes that a stalled response sends, and the pause between them.
 TRICKLE_BYTES = 100
 TRICKLE_INTERVAL_S = 0.3
 
 
-@dataclasses.dataclass
-class Faults:
-    """Faults applied to requests.
-
-    Attributes:
-      shed: Every request is rejected as not executed.
-      error: Every request runs and fails with this status; 0 for none.
-      reset: Every request runs and its connection is reset.
-      hang: Every request runs and gets no response.
-      cut_after: Streams are reset within the event after this many.
-      trickle_after: Streams stall after this many events; other responses
-        stall at the start of their body, as after 0 events. A stalled response
-        sends single bytes, one every TRICKLE_INTERVAL_S.
-      other_id: Responses carry the attempt id of another request.
-      unsealed: Responses lack the seal header, which shows that a replica
-        made them.
-      unframed: Bodies have no length and are reset before their end.
-      leaving: All responses say that the replica is leaving.
-      retry_after: Every request is rejected as not executed, with this value
-        of Retry-After; empty for none.
-      rate_limit: All responses name these rate limits, in requests per second.
-      foreign_refusal: Every request runs, and is answered with a rejection that
-        carries the attempt id of another request, with this status; 0 for none.
-      repeat_refusal: A request that follows a rejected one on the same
-        connection runs, and is answered with that rejection again.
-      unframed_end: Bodies and streams have no length and end in order.
-      cut_head: Every request runs, and its response ends in order after these
-        bytes of its head; None for a whole response.
-      resumed: How a stream that goes on after an event is answered; a key of
-        RESUMED_RESPONSES, or empty to go on with it.
-      deadly_part: Id of a prompt part on which the replica crashes when it
-        begins to write an answer; empty for none.
-    """
-
-    shed: bool = False
-    error: int = 0
-    reset: bool = False
-    hang: bool = False
-    cut_after: int | None = None
-    trickle_after: int | None = None
-    other_id: bool = False
-    unsealed: bool = False
-    unframed: bool = False
-    leaving: bool = False
-    retry_after: str = ""
-    rate_limit: tuple[str, ...] = ()
-    foreign_refusal: int = 0
-    repeat_refusal: bool = False
-    unframed_end: bool = False
-    cut_head: bytes | None = None
-    resumed: str = ""
-    deadly_part: str = ""
-
-
 @dataclasses.dataclass
 class ReceivedRequest:
     """One request and what became of it at the replica.
@@ -158,7 +72,7 @@
         self.zone = zone
         self.version = "v1"
         self.slots = 8
-        self.faults = Faults()
+        self.faults = replica_faults.Faults()
         self.received_requests: list[ReceivedRequest] = []
         self.work_s = 0.0
         self.events = 5
@@ -360,11 +274,12 @@
         response = web.StreamResponse(headers=all_headers)
         response.content_type = "text/event-stream"
         await response.prepare(raw)
-        if self._is_deadly(raw):
-            self.crash()
-            return response
+        is_deadly = self._is_deadly(raw)
         first = int(raw.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.events + 1):
+            if is_deadly and number - first >= self.faults.deadly_after:
+                self.crash()
+                return response
             if self.faults.cut_after == number - first:
                 await response.write(b"id: 99\nda")
                 _reset(raw)
@@ -382,22 +297,29 @@
         part_ids = [item.partition(":")[0] for item in prompt.split(",")]
         return self.faults.deadly_part in part_ids
 
-    def _choose_odd_response(self, raw: web.BaseRequest) -> OddResponse | None:
+    def _choose_odd_response(
+        self, raw: web.BaseRequest
+    ) -> replica_faults.OddResponse | None:
         """Returns the response that is written as it is; None for none."""
         if self.faults.resumed and "Last-Event-Id" in raw.headers:
-            return RESUMED_RESPONSES[self.faults.resumed]
+            return replica_faults.RESUMED_RESPONSES[self.faults.resumed]
         if not self.faults.unframed_end:
             return None
         if "X-Agatedock-Prompt-Prefix" not in raw.headers:
-            return OddResponse(200, "", f"run by {self.name}".encode())
+            return replica_faults.OddResponse(
+                200, "", f"run by {self.name}".encode()
+            )
         events = b"".join(
             f"id: {number}\ndata: x\n\n".encode()
             for number in range(1, self.events + 1)
         )
-        return OddResponse(200, EVENTS, events)
+        return replica_faults.OddResponse(200, replica_faults.EVENTS, events)
 
     async def _write_raw(
-        self, raw: web.BaseRequest, headers: dict[str, str], odd: OddResponse
+        self,
+        raw: web.BaseRequest,
+        headers: dict[str, str],
+        odd: replica_faults.OddResponse,
     ) -> web.Response:
         """Writes a response, and closes the connection in order."""
         headers["Connection"] = "close"
--- a/test/soak.py
+++ b/test/soak.py
@@ -23,6 +23,7 @@
 
 import aiohttp
 
+from standins import faults
 from standins import proxy
 from standins import replica
 from standins import store
@@ -487,7 +488,7 @@
                 ("unframed", True),
             )
         )
-        before = getattr(replica.Faults(), name)
+        before = getattr(faults.Faults(), name)
         setattr(item.faults, name, value)
         await asyncio.sleep(self._random.uniform(0.2, 1.5))
         setattr(item.faults, name, before)
--- a/test/test_crashing_part.py
+++ b/test/test_crashing_part.py
@@ -46,15 +46,18 @@
         except aiohttp.ClientError:
             return 0, {}
 
-    async def crash_replicas(self) -> None:
+    async def crash_replicas(self, deadly: str = DEADLY) -> None:
         """Sends requests with the deadly part until one is refused."""
         for index in range(10):
-            status, _ = await self.chat(f"d{index}", "root", "topic", DEADLY)
+            status, _ = await self.chat(f"d{index}", "root", "topic", deadly)
             if status == 503:
                 return
             await asyncio.sleep(LISTED_S)
         self.fail("no request was refused")
 
+    def count_crashes(self) -> int:
+        return sum(len(item.crashes) for item in self.replicas.values())
+
     def count_arrivals(self, part: str) -> int:
         return sum(
             part in item.headers.get("X-Agatedock-Prompt-Prefix", "")
@@ -81,6 +84,31 @@
             status, _ = await self.chat(f"s{index}", "root", "topic")
             self.assertEqual(status, 200)
 
+    async def test_part_that_crashes_within_an_answer_is_refused(self):
+        for number, events in enumerate((1, 4)):
+            with self.subTest(events=events):
+                deadly = f"{DEADLY}{number}"
+                for item in self.replicas.values():
+                    item.faults.deadly_part = deadly
+                    item.faults.deadly_after = events
+                crashes = self.count_crashes()
+                await self.crash_replicas(deadly)
+                self.assertLessEqual(self.count_crashes() - crashes, 4)
+                before = self.count_arrivals(deadly)
+                status, _ = await self.chat("last", "root", "topic", deadly)
+                self.assertEqual(status, 503)
+                self.assertEqual(self.count_arrivals(deadly), before)
+                for index in range(6):
+                    status, _ = await self.chat(f"s{index}", "root", "topic")
+                    self.assertEqual(status, 200)
+
+    async def test_stream_that_ends_after_it_was_resumed_clears_no_part(self):
+        """The second replica writes only the events after the crash."""
+        for item in self.replicas.values():
+            item.faults.deadly_after = 4
+        await self.crash_replicas()
+        self.assertLessEqual(self.count_arrivals(DEADLY), 8)
+
     async def test_refusals_are_counted_by_part(self):
         await self.crash_replicas()
         reporter = self.router._metrics  # noqa: SLF001
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
 import itertools
-import random
 import unittest
 
 from agatedock import hashing
 from agatedock.decisions import quarantine
 from agatedock.views import crash_evidence
+from agatedock.views import crash_reports
+from test import crash_simulation
 from test import helper
 
 NOW = 1000.0
@@ -72,6 +72,70 @@
         self.assertEqual(evidence.list_crashes(ROOT), [])
         self.assertEqual(self.find([ROOT, DEADLY], evidence), DEADLY)
 
+    def test_begun_answer_does_not_clear_a_crash_within_an_answer(self):
+        evidence = crash_evidence.CrashEvidence()
+        for number in range(3):
+            replica = helper.make_replica(number)
+            evidence.record_begin([DEADLY], "", NOW + number)
+            evidence.record_crash([DEADLY], replica, NOW + number + 0.3, 0.3)
+        self.assertEqual(self.find([DEADLY], evidence), DEADLY)
+
+    def test_whole_answer_clears_a_part(self):
+        evidence = crash_evidence.CrashEvidence()
+        for number in range(3):
+            replica = helper.make_replica(number)
+            evidence.record_crash([TOPIC], replica, NOW + number, 0.3)
+        evidence.record_whole([TOPIC], "", NOW + 4)
+        self.assertEqual(evidence.list_crashes(TOPIC), [])
+
+    def test_answer_that_lasted_clearly_longer_clears_a_part(self):
+        evidence = crash_evidence.CrashEvidence()
+        for number in range(3):
+            replica = helper.make_replica(number)
+            evidence.record_crash([TOPIC], replica, NOW + number, 0.3)
+        evidence.record_progress([TOPIC], "", 0.5, NOW + 4)
+        self.assertEqual(len(evidence.list_crashes(TOPIC)), 3)
+        evidence.record_progress([TOPIC], "", 1.0, NOW + 4)
+        self.assertEqual(evidence.list_crashes(TOPIC), [])
+
+    def test_part_with_whole_answers_before_takes_more_crashes(self):
+        evidence = crash_evidence.CrashEvidence()
+        evidence.record_whole([TOPIC], "", NOW - 100)
+        crashes = []
+        while self.find([TOPIC], evidence) is None:
+            replica = helper.make_replica(len(crashes))
+            crashes.append(NOW + 5 * len(crashes))
+            evidence.record_crash([TOPIC], replica, crashes[-1])
+        self.assertEqual(len(crashes), quarantine.SOUND_CRASHES_MIN)
+
+    def test_part_with_whole_answers_does_not_explain_the_crashes_of_another(
+        self,
+    ):
+        """A sound stream was resumed at each replica that crashed."""
+        evidence = crash_evidence.CrashEvidence()
+        evidence.record_whole([TOPIC], "", NOW - 100)
+        for number in range(3):
+            replica = helper.make_replica(number)
+            evidence.record_crash([TOPIC, DEADLY], replica, NOW + number, 0.1)
+        self.assertEqual(self.find([DEADLY], evidence), DEADLY)
+        self.assertIsNone(self.find([TOPIC], evidence))
+
+    def test_peers_learn_that_a_part_had_whole_answers(self):
+        told = crash_evidence.CrashEvidence()
+        told.record_whole([TOPIC], "", NOW - 100)
+        told.record_crash([TOPIC], helper.make_replica(0), NOW)
+        evidence = make_evidence([set(), *3 * [{TOPIC}]])
+        self.assertEqual(self.find([TOPIC], evidence), TOPIC)
+        evidence.merge([told.describe(TOPIC)], NOW + 9)
+        self.assertIsNone(self.find([TOPIC], evidence))
+
+    def test_replica_that_accepts_a_connection_at_once_has_not_crashed(self):
+        """All connections were reset, and none from before is left."""
+        evidence = make_evidence([{DEADLY}])
+        run = crash_reports.hash_run(helper.make_replica(0))
+        evidence.record_activity(run, NOW + 0.01, NOW + 0.6)
+        self.assertEqual(evidence.list_crashes(DEADLY), [])
+
     def test_repeated_resets_by_one_replica_count_once(self):
         evidence = crash_evidence.CrashEvidence()
         for step in range(10):
@@ -81,14 +145,14 @@
 
     def test_replica_that_sends_data_afterwards_has_not_crashed(self):
         evidence = make_evidence(3 * [{DEADLY}])
-        run = crash_evidence.hash_run(helper.make_replica(0))
+        run = crash_reports.hash_run(helper.make_replica(0))
         evidence.record_activity(run, NOW - 1, NOW + 1)
         self.assertEqual(len(evidence.list_crashes(DEADLY)), 2)
 
     def test_replica_that_crashes_after_a_reset_has_crashed(self):
         evidence = crash_evidence.CrashEvidence()
         replica = helper.make_replica(1)
-        run = crash_evidence.hash_run(replica)
+        run = crash_reports.hash_run(replica)
         evidence.record_crash([DEADLY], replica, NOW)
         evidence.record_activity(run, NOW - 1, NOW + 1)
         self.assertEqual(evidence.list_crashes(DEADLY), [])
@@ -98,7 +162,7 @@
     def test_later_run_does_not_disprove_a_crash(self):
         """It answers under the id and address of the one that is listed."""
         evidence = make_evidence(3 * [{DEADLY}])
-        run = crash_evidence.hash_run(helper.make_replica(0))
+        run = crash_reports.hash_run(helper.make_replica(0))
         evidence.record_activity(run, NOW + 1, NOW + 1.5)
         self.assertEqual(len(evidence.list_crashes(DEADLY)), 3)
 
@@ -233,167 +297,44 @@
             self.assertEqual(merged.list_crashes(ROOT), [], order)
 
 
-ROUTERS = 6
-REPLICAS = 6
-REQUESTS_PER_S = 45.0
-DURATION_S = 40.0
-DEADLY_FROM_S = 4.0
-DOWN_S = 3.0
-EXCHANGE_S = 0.5
-CONTACT_S = 3.0
-ATTEMPTS_MAX = 2
-
-
-@dataclasses.dataclass
-class Work:
-    """One request in the simulation."""
-
-    parts: tuple[int, ...]
-    attempts: int = 0
-    replica: int = -1
-    run: int = 0
-    router: int = 0
-    begun: bool = False
-
-
-class Simulation:
-    """Requests at routers and replicas, with crashes and retries."""
-
-    def __init__(self, seed: int, deadly_share: float, crashes_per_s: float):
-        self._random = random.Random(seed)
-        self._deadly_share = deadly_share
-        self._crashes_per_s = crashes_per_s
-        self._events: list = []
-        self._order = itertools.count()
-        self._evidence = [
-            crash_evidence.CrashEvidence() for _ in range(ROUTERS)
-        ]
-        self._runs = [0] * REPLICAS
-        self._up_at = [0.0] * REPLICAS
-        self._running: list[list[Work]] = [[] for _ in range(REPLICAS)]
-        self.deadly_crashes: list[float] = []
-        self.deadly_sent: list[float] = []
-        self.refused = 0
-        self.sound = 0
-
-    def run(self) -> None:
-        """Plays the whole duration."""
-        self._add(0.0, self._arrive)
-        self._add(EXCHANGE_S, self._exchange)
-        if self._crashes_per_s:
-            self._add(1.0, self._crash_any)
-        while self._events:
-            now, _, action, arguments = heapq.heappop(self._events)
-            if now > DURATION_S:
-                return
-            action(now, *arguments)
-
-    def _add(self, at: float, action, *arguments) -> None:
-        heapq.heappush(self._events, (at, next(self._order), action, arguments))
-
-    def _arrive(self, now: float) -> None:
-        self._add(now + self._random.expovariate(REQUESTS_PER_S), self._arrive)
-        root = 10 + self._random.randrange(3)
-        topic = 100 + self._random.randrange(60)
-        parts: tuple[int, ...] = (root, topic)
-        if now > DEADLY_FROM_S and self._random.random() < self._deadly_share:
-            parts = (10, 100, DEADLY)
-        work = Work(parts, router=self._random.randrange(ROUTERS))
-        self.sound += DEADLY not in parts
-        self._send(now, work, is_retry=False)
-
-    def _send(self, now: float, work: Work, is_retry: bool) -> None:
-        evidence = self._evidence[work.router]
-        cause = quarantine.find_cause(
-            work.parts, VERSION, evidence, is_retry=is_retry
-        )
-        if cause is not None:
-            self.refused += DEADLY not in work.parts
-            return
-        up = [n for n in range(REPLICAS) if self._up_at[n] <= now]
-        if not up:
-            return
-        work.attempts += 1
-        work.replica = self._random.choice(up)
-        work.run = self._runs[work.replica]
-        self._running[work.replica].append(work)
-        if DEADLY in work.parts:
-            self.deadly_sent.append(now)
-        self._add(now + self._random.expovariate(5), self._begin, work)
-
-    def _begin(self, now: float, work: Work) -> None:
-        if self._runs[work.replica] != work.run:
-            return
-        if DEADLY in work.parts:
-            self.deadly_crashes.append(now)
-            self._crash(now, work.replica)
-            return
-        work.begun = True
-        self._evidence[work.router].record_begin(work.parts, "", now)
-
-    def _crash_any(self, now: float) -> None:
-        delay_s = self._random.expovariate(self._crashes_per_s)
-        self._add(now + delay_s, self._crash_any)
-        self._crash(now, self._random.randrange(REPLICAS))
-
-    def _crash(self, now: float, number: int) -> None:
-        ended, self._running[number] = self._running[number], []
-        replica = helper.make_replica(
-            number, started_at_ms=1 + self._runs[number]
-        )
-        self._runs[number] += 1
-        self._up_at[number] = now + DOWN_S
-        for work in ended:
-            if work.begun:
-                continue
-            self._evidence[work.router].record_crash(work.parts, replica, now)
-            if work.attempts < ATTEMPTS_MAX:
-                self._send(now, work, is_retry=True)
-
-    def _exchange(self, now: float) -> None:
-        self._add(now + EXCHANGE_S, self._exchange)
-        news = [
-            [
-                known
-                for part in item.list_parts()
-                if (known := item.describe(part))
-            ]
-            for item in self._evidence
-        ]
-        for item, others in itertools.product(self._evidence, news):
-            item.merge(others, now)
-
-
 class LoadTest(unittest.TestCase):
     """The load that the quarantine answers, and crashes without a cause."""
 
+    def play(
+        self, seed: int, load: crash_simulation.Load
+    ) -> crash_simulation.Simulation:
+        """Returns a simulation that has been played."""
+        play = crash_simulation.Simulation(seed, load)
+        play.run()
+        return play
+
     def test_deadly_part_is_stopped_and_sound_requests_are_served(self):
         for seed, share in itertools.product(range(15), (0.01, 0.05, 0.2)):
             with self.subTest(seed=seed, share=share):
-                play = Simulation(seed, share, crashes_per_s=0.0)
-                play.run()
-                late = self.count_late(play)
-                self.assertLessEqual(late, 3)
+                play = self.play(seed, crash_simulation.Load(share))
+                self.assertLessEqual(play.count_late(), 3)
+                self.assertLess(play.refused, 0.01 * play.sound)
+
+    def test_deadly_part_is_stopped_that_crashes_within_an_answer(self):
+        for seed, share, deadly_s in itertools.product(
+            range(3), (0.01, 0.05, 0.2), (0.01, 0.3, 1.0)
+        ):
+            with self.subTest(seed=seed, share=share, deadly_s=deadly_s):
+                load = crash_simulation.Load(share, deadly_s=deadly_s)
+                play = self.play(seed, load)
+                self.assertLessEqual(play.count_late(), 3)
                 self.assertLess(play.refused, 0.01 * play.sound)
 
     def test_deadly_part_is_stopped_among_other_crashes(self):
-        for seed in range(15):
-            with self.subTest(seed=seed):
-                play = Simulation(seed, 0.05, crashes_per_s=0.4)
-                play.run()
-                self.assertLessEqual(self.count_late(play), 3)
+        for seed, deadly_s in itertools.product(range(15), (0.0, 0.5)):
+            with self.subTest(seed=seed, deadly_s=deadly_s):
+                load = crash_simulation.Load(0.05, 0.4, deadly_s)
+                play = self.play(seed, load)
+                self.assertLessEqual(play.count_late(), 3)
                 self.assertLess(play.refused, 0.02 * play.sound)
 
     def test_crashes_without_a_cause_refuse_hardly_any_request(self):
         for seed, rate in itertools.product(range(10), (0.2, 0.6)):
             with self.subTest(seed=seed, rate=rate):
-                play = Simulation(seed, 0.0, crashes_per_s=rate)
-                play.run()
+                play = self.play(seed, crash_simulation.Load(0.0, rate))
                 self.assertLess(play.refused, 0.005 * play.sound)
-
-    def count_late(self, play: Simulation) -> int:
-        """Returns the deadly requests sent after the fifth crash."""
-        if len(play.deadly_crashes) < 5:
-            return 0
-        limit = play.deadly_crashes[4] + CONTACT_S
-        return sum(at > limit for at in play.deadly_sent)
--- a/test/test_streams.py
+++ b/test/test_streams.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from agatedock.serving import sse
-from standins import replica
+from standins import faults
 from test import platform_helper
 
 COMPLETE_STREAM = b"".join(
@@ -38,7 +38,7 @@
         return body, True
 
     async def test_odd_answer_never_reaches_the_middle_of_a_stream(self):
-        for kind in replica.RESUMED_RESPONSES:
+        for kind in faults.RESUMED_RESPONSES:
             with self.subTest(kind):
                 for item in self.replicas.values():
                     item.faults.cut_after = BROKEN_AFTER
@@ -49,7 +49,7 @@
 
     async def test_stream_is_resumed_after_an_odd_answer(self):
         """A further attempt at the first replica goes on with the stream."""
-        for kind in replica.RESUMED_RESPONSES:
+        for kind in faults.RESUMED_RESPONSES:
             with self.subTest(kind):
                 for item in self.replicas.values():
                     item.faults.resumed = ""
