--- a/agatedock/domain/hosts.py
+++ b/agatedock/domain/hosts.py
@@ -17,7 +17,8 @@
       routes: Routes by host, then by path prefix.
       services: Services by name.
       limits: Limits on client requests.
-      accounts: Accounts by API key; None if no route needs a key.
+      accounts: Accounts by API key; None if no route needs a key. If it is
+        empty, no key is valid.
       floors: Guaranteed minimum share of each rank, rank 0 first.
     """
 
@@ -53,4 +54,6 @@
 
     def find_account(self, account_key: str) -> configuration.Account | None:
         """Returns the account with an API key, None if the key is unknown."""
-        return self.accounts.get(account_key) if self.accounts else None
+        if self.accounts is None:
+            return None
+        return self.accounts.get(account_key)
