--- a/agatedock/serving/early_closes.py
+++ b/agatedock/serving/early_closes.py
@@ -20,6 +20,7 @@
     # All bodies that are buffered together exceed their limit.
     BUFFERS_FULL = "buffers_full"
     INVALID_STREAM = "invalid_stream"
+    INVALID_HEAD = "invalid_head"
     # Informational responses without a final one.
     NO_FINAL_HEAD = "no_final_head"
 
--- a/agatedock/serving/replica_client.py
+++ b/agatedock/serving/replica_client.py
@@ -16,6 +16,7 @@
 from agatedock import logs
 from agatedock.decisions import retries
 from agatedock.serving import dialect
+from agatedock.serving import early_closes
 
 # A replica accepts a connection within milliseconds. A lost SYN packet is
 # retransmitted only after 1 second, so waiting longer would not help.
@@ -37,15 +38,20 @@
 
     Attributes:
       outcome: What is known about the request at the replica.
-      unread_bytes: Bytes of informational responses after which the router
-        closed the connection; 0 if it did not.
+      close_reason: Why the router closed the connection; None if it did not.
+      size_bytes: Bytes received until then, if known.
     """
 
     def __init__(
-        self, outcome: retries.Outcome, cause: str, unread_bytes: int = 0
+        self,
+        outcome: retries.Outcome,
+        cause: str,
+        close_reason: early_closes.Reason | None = None,
+        size_bytes: int = 0,
     ):
         self.outcome = outcome
-        self.unread_bytes = unread_bytes
+        self.close_reason = close_reason
+        self.size_bytes = size_bytes
         super().__init__(f"{outcome}: {cause}")
 
 
@@ -151,7 +157,16 @@
             ) from error
         except connections.TooManyHeadsError as error:
             raise AttemptError(
-                retries.Outcome.BROKEN, str(error), error.size_bytes
+                retries.Outcome.BROKEN,
+                str(error),
+                early_closes.Reason.NO_FINAL_HEAD,
+                error.size_bytes,
+            ) from error
+        except aiohttp.ClientResponseError as error:
+            raise AttemptError(
+                retries.Outcome.BROKEN,
+                repr(error),
+                early_closes.Reason.INVALID_HEAD,
             ) from error
         except (aiohttp.ClientError, OSError) as error:
             raise AttemptError(retries.Outcome.BROKEN, repr(error)) from error
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -496,17 +496,17 @@
                 if newly_reached:
                     self._attempt_count -= 1
                     self._chooser.reached_ids.discard(replica.replica_id)
-            if error.unread_bytes:
+            if error.close_reason is not None:
                 shared.early_closes.record(
                     self._request.request_id,
                     replica.replica_id,
-                    error.unread_bytes,
-                    early_closes.Reason.NO_FINAL_HEAD,
+                    error.size_bytes,
+                    error.close_reason,
                 )
             return response_forwarder.AttemptFailure(
                 error.outcome,
                 connection_lost=error.outcome is retries.Outcome.BROKEN
-                and not error.unread_bytes,
+                and error.close_reason is None,
             )
         self._head_received = True
         # Closing keeps a partly read connection from being reused.
--- a/test/test_endless_work.py
+++ b/test/test_endless_work.py
@@ -135,11 +135,29 @@
         self.assertEqual(status, 200)
         self.assertFalse(self.router.core.shared.early_closes.counts)
 
+    async def assert_no_evidence(self, unit: bytes) -> None:
+        """Asserts that no part is suspected for heads that the router cuts."""
+        faulty = await self.add_faulty("llm", b"", filler=fill(unit))
+        await asyncio.gather(
+            *(
+                self.call(platform_helper.CHAT, f"r{number}")
+                for number in range(24)
+            ),
+            return_exceptions=True,
+        )
+        self.assertTrue(faulty.sent)
+        evidence = self.router.core.shared.crash_evidence
+        self.assertFalse(evidence.list_parts())
+
     async def test_interim_heads_are_no_evidence_of_a_crash(self):
-        await self.add_faulty("llm", b"", filler=fill(INTERIM))
-        for number in range(20):
-            await self.call(platform_helper.CHAT, f"r{number}")
-        self.assertFalse(self.router.core.shared.crash_evidence.list_parts())
+        await self.assert_no_evidence(INTERIM)
+
+    async def test_invalid_head_is_no_evidence_of_a_crash(self):
+        await self.assert_no_evidence(b"garbage ")
+
+    async def test_endless_head_is_no_evidence_of_a_crash(self):
+        faulty = b"HTTP/1.1 200 OK\r\nname: " + b"a" * (2**16 - 30)
+        await self.assert_no_evidence(faulty)
 
     async def test_interim_heads_of_the_store(self):
         faulty = endless.EndlessReplica("store", "")
