Let a configuration close its list of accounts

Cause: in the native API an empty list admits every account, so taking the last name away opens the service to all: the same confusion as with `Tenants` = []. The meaning of the empty list cannot change, as stored configurations contain it as their default.

Change: `accounts_closed` rejects accounts that are not listed even if none is. It is false by default, so configurations in use keep their meaning.

Evidence: the new test fails before the change (no such field); 7 tests of the module pass.

--- a/agatedock/fleet/documents.py
+++ b/agatedock/fleet/documents.py
@@ -168,7 +168,10 @@
       accepted_ms: Wall-clock time of acceptance in milliseconds.
       default_rank: Name of the rank of requests without a known kind of work.
       works: Name of the rank of each kind of work that clients name.
-      accounts: Known client accounts; if empty, every account is accepted.
+      accounts: Known client accounts; if empty, every account is accepted,
+        unless `accounts_closed` is set.
+      accounts_closed: Whether an account that is not listed is rejected even
+        if none is listed, as after the last one was taken away.
       exceptions: Overrides of the defaults.
     """
 
@@ -187,6 +190,7 @@
     models: tuple[Model, ...] = ()
     services: tuple[Service, ...] = ()
     accounts: tuple[str, ...] = ()
+    accounts_closed: bool = False
     exceptions: tuple[Override, ...] = ()
 
     def find_model(self, name: str) -> Model | None:
--- a/agatedock/native/native_configuration.py
+++ b/agatedock/native/native_configuration.py
@@ -124,9 +124,12 @@
     def find_account(self, account_key: str) -> configuration.Account | None:
         """Returns an account by name, None if it is not listed.
 
-        If the configuration lists no accounts, every name is accepted.
+        If the configuration lists no accounts, every name is accepted, unless
+        it says that its list is closed.
         """
-        if self.document.accounts and account_key not in self.document.accounts:
+        document = self.document
+        is_closed = document.accounts_closed or bool(document.accounts)
+        if is_closed and account_key not in document.accounts:
             return None
         weight = self.resolver.get("account_weight", account=account_key)
         return configuration.Account(account_key, weight=weight)
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -9,6 +9,8 @@
 from agatedock.fleet import documents
 from agatedock.fleet import resolution
 from agatedock.fleet import yaml_loader
+from agatedock.native import native_configuration
+from agatedock.native import settings
 
 NOW_MS = 1_800_000_000_000
 
@@ -137,3 +139,28 @@
     def test_expired_override_does_not_apply(self):
         past = datetime.datetime.fromtimestamp(NOW_MS / 1000 - 1, datetime.UTC)
         self.assertEqual(self._resolve(self._make_override(expires=past)), 1.0)
+
+
+LIMITS = settings.Limits(**dict.fromkeys(settings.Limits.model_fields, 1000))
+
+
+class AccountsTest(unittest.TestCase):
+    """Which accounts a configuration of the native API accepts."""
+
+    def accepts(self, name: str, **fields) -> bool:
+        config = native_configuration.NativeConfiguration(
+            documents.Document(**fields),
+            LIMITS,
+        )
+        return config.find_account(name) is not None
+
+    def test_closed_list_stays_closed_without_its_last_account(self):
+        self.assertTrue(self.accepts("a", accounts=("a",)))
+        self.assertFalse(self.accepts("b", accounts=("a",)))
+        self.assertFalse(self.accepts("a", accounts_closed=True))
+        self.assertTrue(
+            self.accepts("a", accounts=("a",), accounts_closed=True)
+        )
+
+    def test_open_list_accepts_all(self):
+        self.assertTrue(self.accepts("a"))
