--- a/agatedock/serving/response_forwarder.py
+++ b/agatedock/serving/response_forwarder.py
@@ -201,14 +201,16 @@
                 return self._end_attempt(replica_id, response, error)
             if batch is None:
                 break
-            if batch.has_events:
-                has_events = True
-                last_event_at = loop.time()
             if batch.data:
                 await self._write_batch(batch)
+                has_events = True
+                last_event_at = loop.time()
         if not self._is_complete(splitter, has_events, response):
             self._record_unreachable(replica_id)
             return AttemptFailure(retries.Outcome.BROKEN, connection_lost=True)
+        empty_lines = splitter.take_empty_lines()
+        if empty_lines:
+            await self._client.write(empty_lines)
         now = self._shared.now()
         self._guard.record_whole(now)
         self._shared.health.record_result(replica_id, True, now)
@@ -312,10 +314,9 @@
         await self._client.start_stream(response.status, headers)
 
     async def _write_batch(self, batch: sse.Batch) -> None:
-        if batch.has_events:
-            now = self._shared.now()
-            self._log_entry.record_chunk(now)
-            self._guard.record_data(now)
+        now = self._shared.now()
+        self._log_entry.record_chunk(now)
+        self._guard.record_data(now)
         self.last_event_id = batch.last_id or self.last_event_id
         self._last_batch = batch.data
         if self._shared.dialect.needs_delivered_events:
--- a/agatedock/serving/sse.py
+++ b/agatedock/serving/sse.py
@@ -6,6 +6,7 @@
 import re
 
 _EVENT_END = b"\n\n"
+_LINE_ENDS = b"\r\n"
 _ID_FIELD = re.compile(rb"^id:(.*)$", re.MULTILINE)
 # Longest event that is buffered; a stream without event ends would fill memory.
 EVENT_MAX_BYTES = 1 << 20
@@ -29,11 +30,6 @@
     data: bytes
     last_id: str | None
 
-    @property
-    def has_events(self) -> bool:
-        """Returns whether the data is more than empty lines."""
-        return bool(self.data.strip(b"\r\n"))
-
 
 class SseSplitter:
     """Splits a stream into complete events; buffers a partial one.
@@ -71,11 +67,19 @@
     @property
     def at_event_boundary(self) -> bool:
         """Returns whether no partial event is buffered."""
-        return not self._partial_event
+        return not self._partial_event.strip(_LINE_ENDS)
+
+    def take_empty_lines(self) -> bytes:
+        """Returns the empty lines after the last event; they are complete."""
+        empty_lines = bytes(self._partial_event)
+        self._partial_event.clear()
+        return empty_lines
 
     def feed(self, chunk: bytes) -> Batch:
         """Returns the events that this chunk completes.
 
+        Empty lines are no event: they are held until one follows them.
+
         Raises:
           InvalidStreamError: An event is out of sequence or longer than
             EVENT_MAX_BYTES.
@@ -84,6 +88,8 @@
         searched_from = max(0, len(self._partial_event) + 1 - len(_EVENT_END))
         self._partial_event += chunk
         end = self._partial_event.rfind(_EVENT_END, searched_from)
+        if end >= 0 and not self._partial_event[:end].strip(_LINE_ENDS):
+            end = -1
         if end < 0:
             if len(self._partial_event) > EVENT_MAX_BYTES:
                 raise InvalidStreamError(
--- a/test/soak.py
+++ b/test/soak.py
@@ -28,6 +28,7 @@
 from standins import replica
 from standins import store
 from test import platform_helper
+from test import soak_endless
 from test import soak_notices
 from test import soak_rate_limits
 
@@ -147,6 +148,7 @@
             self._fault_phase_s = RATE_LIMIT_FAULT_PHASE_S
             self._last_fault_s = RATE_LIMIT_LAST_FAULT_S
         self._has_restores = seed >= FIRST_RESTORE_SEED
+        self._has_endless = seed >= soak_endless.FIRST_SEED
         self._copies: list[tuple[float, store.Copy]] = []
         self._restore_lock = asyncio.Lock()
         self._version = 0
@@ -161,6 +163,7 @@
         self._sessions: dict[str, aiohttp.ClientSession] = {}
         self._folder = folder
         self._store = store.Store()
+        self._endless = soak_endless.EndlessReplicas(self._store, self._random)
         self._replicas: list[replica.Replica] = []
         self._proxies: list[proxy.Proxy] = []
         self._link_disturbances: dict[str, soak_notices.Disturbances] = {}
@@ -211,6 +214,10 @@
             if self._has_deadly_part:
                 item.faults.deadly_part = DEADLY_PART
                 item.on_restart = self._register
+            if self._has_endless:
+                item.faults.deadly_after = self._topology_random.choice(
+                    soak_endless.DEADLY_AFTER
+                )
         if self._has_restores:
             self._store.era = "1"
         self._configure()
@@ -426,6 +433,8 @@
             faults += 3 * (self._limit_replica,)
         if self._has_restores:
             faults += 2 * (self._restore_store,) + 4 * (self._add_route,)
+        if self._has_endless:
+            faults += 4 * (self._endless.join,)
         return faults
 
     async def _fail_link(self) -> None:
@@ -635,6 +644,10 @@
             process = node.process
             if process is None or process.returncode is not None:
                 self._add_violation(f"{node.path.stem} exited unexpectedly")
+                continue
+            peak_mb = soak_endless.measure_peak_mb(process.pid)
+            if peak_mb > soak_endless.MEMORY_MAX_MB:
+                self._add_violation(f"{node.path.stem} used {peak_mb:.0f} MB")
         self._check_notices()
         self._check_recovery()
 
--- a/test/test_endless_work.py
+++ b/test/test_endless_work.py
@@ -87,6 +87,24 @@
         )
 
 
+class EmptyLinesTest(test_endless_bytes.EndlessCase):
+    """Streams of empty lines that are resumed at a sound replica."""
+
+    async def test_empty_lines_of_a_faulty_replica_do_not_reach_clients(self):
+        faulty = await self.add_faulty(
+            "llm", test_body_buffers.STREAM, filler=fill(b"\n")
+        )
+        answers = await asyncio.gather(
+            *(
+                self.call(platform_helper.CHAT, f"r{number}")
+                for number in range(24)
+            )
+        )
+        self.assertTrue(faulty.sent)
+        bodies = {body for status, _, body in answers if status == 200}
+        self.assertEqual(len(bodies), 1)
+
+
 class InterimTest(test_endless_bytes.EndlessCase):
     """Responses that do not begin after their interim heads."""
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -9,6 +9,7 @@
 import unittest
 
 from test import soak
+from test import soak_endless
 
 SEEDS = (
     1,
@@ -19,6 +20,8 @@
     soak.FIRST_DEADLY_SEED,
     soak.FIRST_RATE_LIMIT_SEED,
     soak.FIRST_RESTORE_SEED + 1,
+    soak_endless.FIRST_SEED,
+    soak_endless.FIRST_SEED + 1,
 )
 # Seed -> cause of its failure, since fixed.
 REGRESSIONS = {
--- a/test/test_streams.py
+++ b/test/test_streams.py
@@ -105,3 +105,18 @@
         splitter = sse.SseSplitter("b", increasing_ids=True)
         batch = splitter.feed(b"id: a\ndata: x\n\nid: 1\ndata: y\n\n")
         self.assertEqual(batch.last_id, "1")
+
+    def test_empty_lines_are_held_until_an_event_follows(self):
+        splitter = sse.SseSplitter()
+        self.assertEqual(splitter.feed(b"\n\n\n").data, b"")
+        batch = splitter.feed(b"\ndata: x\n\n")
+        self.assertEqual(batch.data, b"\n\n\n\ndata: x\n\n")
+        self.assertEqual(splitter.feed(b"\n\n").data, b"")
+        self.assertTrue(splitter.at_event_boundary)
+        self.assertEqual(splitter.take_empty_lines(), b"\n\n")
+
+    def test_empty_lines_without_end_are_cut(self):
+        splitter = sse.SseSplitter()
+        with self.assertRaises(sse.InvalidStreamError):
+            for _ in range(2 * sse.EVENT_MAX_BYTES // 10_000):
+                splitter.feed(b"\n" * 10_000)
