--- a/agatedock/connections.py
+++ b/agatedock/connections.py
@@ -30,6 +30,9 @@
 # at twice as many.
 BUFFER_BYTES = 32 * 1024
 
+# Peers beyond which those without connections are dropped.
+PEERS_MAX = 1000
+
 # Lower statuses are informational.
 _FIRST_FINAL_STATUS = 200
 
@@ -81,7 +84,7 @@
 
 
 class Peers:
-    """The peers of one HTTP client, by address."""
+    """Peers by address; HTTP clients for the same peers share them."""
 
     def __init__(self) -> None:
         self._by_address: dict[object, Peer] = {}
@@ -96,13 +99,20 @@
         return peer
 
     def remove(self, address: object, connection: ResponseHandler) -> None:
-        """Forgets a connection, and its peer with the last of them."""
+        """Forgets a connection, and peers that have used little time."""
         peer = self._by_address.get(address)
         if peer is None:
             return
         peer.connections.discard(connection)
-        if not peer.connections:
+        if not peer.connections and not peer.is_paused:
             del self._by_address[address]
+        if len(self._by_address) > PEERS_MAX:
+            self._drop_unused()
+
+    def _drop_unused(self) -> None:
+        for address, peer in list(self._by_address.items()):
+            if not peer.connections and not peer.is_paused:
+                del self._by_address[address]
 
 
 class ResponseHandler(client_proto.ResponseHandler):
@@ -152,6 +162,9 @@
         if self.peer is not None:
             now = time.monotonic()
             self.peer.record_work(now - began_at, now)
+            if self.peer.is_paused:
+                # This connection may have been opened during the pause.
+                self.pause_transport()
         if self._is_awaited and self._received_bytes > INFORMATIONAL_MAX_BYTES:
             self._give_up()
 
@@ -244,6 +257,7 @@
 
 def make_session(
     *,
+    peers: Peers | None = None,
     keepalive_timeout_s: float | None = None,
     force_close: bool = False,
     skip_auto_headers: Sequence[str] = (),
@@ -252,6 +266,7 @@
     """Returns an HTTP client whose connections have the limits of this module.
 
     Args:
+      peers: The peers, if another client has connections to them as well.
       keepalive_timeout_s: How long idle connections are kept; None for the
         library's default.
       force_close: Whether each request gets a connection of its own.
@@ -259,13 +274,13 @@
       **options: Further options of `aiohttp.ClientSession`.
     """
     loop = asyncio.get_running_loop()
-    peers = Peers()
+    shared_peers = Peers() if peers is None else peers
     connector_options: dict[str, Any] = {"force_close": force_close}
     if keepalive_timeout_s is not None:
         connector_options["keepalive_timeout"] = keepalive_timeout_s
     connector = aiohttp.TCPConnector(limit=0, **connector_options)
     # The library has no public way to set the connection class.
-    connector._factory = lambda: ResponseHandler(loop, peers)  # type: ignore[assignment]  # noqa: SLF001
+    connector._factory = lambda: ResponseHandler(loop, shared_peers)  # type: ignore[assignment]  # noqa: SLF001
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/agatedock/serving/replica_client.py
+++ b/agatedock/serving/replica_client.py
@@ -90,10 +90,11 @@
 
     def __init__(self) -> None:
         self._cancel_tasks: set[asyncio.Task[None]] = set()
+        peers = connections.Peers()
         self._keepalive_session = _make_session(
-            keepalive_timeout_s=KEEPALIVE_TIMEOUT_S
+            peers=peers, keepalive_timeout_s=KEEPALIVE_TIMEOUT_S
         )
-        self._one_shot_session = _make_session(force_close=True)
+        self._one_shot_session = _make_session(peers=peers, force_close=True)
 
     async def close(self) -> None:
         """Cancels pending cancel requests and closes all connections."""
--- a/test/test_endless_work.py
+++ b/test/test_endless_work.py
@@ -243,6 +243,27 @@
         for transport in transports:
             transport.resume_reading.assert_called()
 
+    async def test_connection_that_is_opened_in_a_pause_is_paused(self):
+        self.handlers = []
+        peers = connections.Peers()
+        self.make_connection(peers)
+        self.handlers[0].peer.record_work(0.02, time.monotonic())
+        transport = self.make_connection(peers)
+        transport.pause_reading.assert_not_called()
+        self.handlers[1].set_response_params()
+        self.handlers[1].data_received(INTERIM)
+        transport.pause_reading.assert_called()
+
+    async def test_pause_outlasts_the_connections(self):
+        self.handlers = []
+        peers = connections.Peers()
+        self.make_connection(peers)
+        paused = self.handlers[0].peer
+        paused.record_work(0.02, time.monotonic())
+        self.handlers[0].connection_lost(None)
+        self.make_connection(peers)
+        self.assertIs(self.handlers[1].peer, paused)
+
     async def test_bytes_are_read_in_small_blocks(self):
         self.handlers = []
         transport = self.make_connection(connections.Peers())
