--- a/agatedock/views/crash_evidence.py
+++ b/agatedock/views/crash_evidence.py
@@ -16,6 +16,7 @@
 
 from agatedock import hashing
 from agatedock.domain import replicas
+from agatedock.views import crash_records
 from agatedock.views import crash_reports
 
 # Parts with evidence that are remembered; those with the fewest and oldest
@@ -27,79 +28,24 @@
 EXPIRY_S = 3600.0
 # A part that was cleared is kept for this long, until all routers know.
 CLEARED_EXPIRY_S = 10.0
-# A part that is sound at some time was not the cause of a crash this much
-# later. This does not hold for answers that still go on.
-CLEARED_BEFORE_S = {
-    crash_reports.AnswerKind.BEGUN: 1.0,
-    crash_reports.AnswerKind.LONG: 0.0,
-    crash_reports.AnswerKind.WHOLE: 1.0,
-}
 # An answer has lasted clearly longer than another one if it has lasted this
 # many times as long, and this much longer.
 LONGER_FACTOR = 2.0
 LONGER_MARGIN_S = 0.25
+# Crashes from which on other routers are told of a part that is probably sound.
+# Most of its crashes have other causes, and the news have a byte budget.
+SOUND_TOLD_CRASHES_MIN = 2
 # Data that arrives later than this after the end of a connection disproves a
 # crash. Earlier, data may be read that was received before.
 DISPROVED_AFTER_S = 0.15
 # Replicas take longer to listen again after a crash.
 RESTART_MIN_S = 0.25
-# Crashes from which on other routers are told of a part that is probably sound.
-# Most of its crashes have other causes, and the news have a byte budget.
-SOUND_TOLD_CRASHES_MIN = 2
 # Latest answers by part, version and kind, and crashed runs, that are
 # remembered.
 ANSWERS_MAX = 4000
 RUNS_MAX = 1000
 
 
-@dataclasses.dataclass(slots=True)
-class _Record:
-    """Evidence about one part: crashes by run, and answers to tell of.
-
-    Attributes:
-      is_told: Whether other routers know of any of its crashes.
-    """
-
-    crashes: dict[int, crash_reports.Crash] = dataclasses.field(
-        default_factory=dict
-    )
-    answered_at: dict[crash_reports.AnswerKey, float] = dataclasses.field(
-        default_factory=dict
-    )
-    used_at: float = 0.0
-    is_told: bool = False
-
-    def get_longest_s(self, version_hash: int) -> float:
-        """Returns how long answers had lasted that ended with a crash."""
-        return max(
-            (
-                crash.lasted_s
-                for crash in self.crashes.values()
-                if crash.version_hash == version_hash
-            ),
-            default=0.0,
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rank:
-    """How urgent the news of a part are.
-
-    Attributes:
-      is_suspect: Whether it has crashes and is not probably sound.
-      crashes: Crashes that it may have caused.
-      shortest_s: How long an answer on it had lasted at least.
-    """
-
-    is_suspect: bool
-    crashes: int
-    shortest_s: float
-
-    def make_key(self) -> tuple[bool, int, float]:
-        """Returns a key by which the most urgent news sort last."""
-        return self.is_suspect, self.crashes, -self.shortest_s
-
-
 class CrashEvidence:
     """Crashes by prompt part, merged from all routers.
 
@@ -110,7 +56,7 @@
     """
 
     def __init__(self) -> None:
-        self._records: dict[int, _Record] = {}
+        self._records: dict[int, crash_records.Record] = {}
         self._answered_at: collections.OrderedDict[
             tuple[int, crash_reports.AnswerKey], float
         ] = collections.OrderedDict()
@@ -302,7 +248,7 @@
         if self._is_cleared(part_hash, crash):
             return
         if record is None:
-            record = self._records[part_hash] = _Record()
+            record = self._records[part_hash] = crash_records.Record()
         record.crashes[crash.run_hash] = crash
         _remember(self._crashed_at, crash.run_hash, crash.at, RUNS_MAX)
         while len(record.crashes) > CRASHES_PER_PART_MAX:
@@ -313,13 +259,15 @@
             record.is_told = True
             self.changed_parts.add(part_hash)
 
-    def _is_worth_telling(self, part_hash: int, record: _Record) -> bool:
+    def _is_worth_telling(
+        self, part_hash: int, record: crash_records.Record
+    ) -> bool:
         """Returns whether other routers should know of a part's crashes."""
         return len(
             record.crashes
         ) >= SOUND_TOLD_CRASHES_MIN or not self._is_sound(part_hash, record)
 
-    def _is_sound(self, part_hash: int, record: _Record) -> bool:
+    def _is_sound(self, part_hash: int, record: crash_records.Record) -> bool:
         """Returns whether an answer ended whole at any version that crashed."""
         return any(
             self.has_ended_whole(part_hash, crash.version_hash)
@@ -331,13 +279,15 @@
         if record is not None:
             record.is_told = True
 
-    def rank(self, part_hash: int) -> Rank:
+    def rank(self, part_hash: int) -> crash_records.Rank:
         """Returns how urgent the news of a part are."""
         record = self._records.get(part_hash)
         crashes = self.list_crashes(part_hash)
         if record is None or not crashes:
-            return Rank(is_suspect=False, crashes=0, shortest_s=0.0)
-        return Rank(
+            return crash_records.Rank(
+                is_suspect=False, crashes=0, shortest_s=0.0
+            )
+        return crash_records.Rank(
             is_suspect=not self._is_sound(part_hash, record),
             crashes=len(crashes),
             shortest_s=min(crash.lasted_s for crash in crashes),
@@ -351,7 +301,7 @@
         for kind in crash_reports.AnswerKind:
             key = crash_reports.AnswerKey(crash.version_hash, kind)
             at = self._answered_at.get((part_hash, key), float("-inf"))
-            if _clears(key, at, crash):
+            if crash_records.clears(key, at, crash):
                 if at >= crash.at:
                     self._announce_answer(part_hash, key, at)
                 return True
@@ -361,7 +311,7 @@
         self, part_hash: int, key: crash_reports.AnswerKey, at: float
     ) -> None:
         """Lets other routers know of an answer on a part."""
-        record = self._records.setdefault(part_hash, _Record())
+        record = self._records.setdefault(part_hash, crash_records.Record())
         record.used_at = max(record.used_at, at)
         if record.answered_at.get(key, float("-inf")) < at:
             record.answered_at[key] = at
@@ -376,7 +326,7 @@
         cleared = [
             crash.run_hash
             for crash in record.crashes.values()
-            if _clears(key, at, crash)
+            if crash_records.clears(key, at, crash)
         ]
         for run_hash in cleared:
             del record.crashes[run_hash]
@@ -464,17 +414,6 @@
             del self._records[part_hash]
 
 
-def _clears(
-    key: crash_reports.AnswerKey, at: float, crash: crash_reports.Crash
-) -> bool:
-    """Returns whether an answer shows that its parts did not cause a crash."""
-    if key.version_hash != crash.version_hash:
-        return False
-    if key.kind is crash_reports.AnswerKind.BEGUN and crash.lasted_s:
-        return False
-    return crash.at <= at + CLEARED_BEFORE_S[key.kind]
-
-
 def _remember(
     times: collections.OrderedDict, key: object, now: float, limit: int
 ) -> None:
