--- a/test/test_draining.py
+++ b/test/test_draining.py
@@ -13,7 +13,7 @@
 from agatedock.native import native_dialect
 from agatedock.peers import draining_exchange
 from agatedock.peers import messages
-from agatedock.views import crash_evidence
+from agatedock.views import crash_reports
 from agatedock.views import directory
 from agatedock.views import health
 from test import helper
@@ -296,7 +296,7 @@
     @test_peers.in_virtual_time
     async def test_peer_cannot_put_a_replica_out_of_use(self):
         routers = await self.start_routers(3)
-        run_hash = crash_evidence.hash_run(helper.make_replica(3))
+        run_hash = crash_reports.hash_run(helper.make_replica(3))
         message = messages.DrainingRuns([run_hash, 12345])
         avoided = 0
         for _ in range(100):
