Let urgent news of crashes use what is left of the bandwidth

Cause: news of suspects of several crashes left an eighth of the bucket (750 bytes), which is rarely there under load, as reservations use what there is. Without any reserve they overspent it (70,775 bytes of 66,600 in the test).

Change: urgent news, at most three parts a message, are sent if they fit into what is left.

--- a/agatedock/peers/endpoint.py
+++ b/agatedock/peers/endpoint.py
@@ -29,6 +29,11 @@
 DEBT_MAX_BYTES = 600.0
 
 
+def measure(message: messages.Message) -> int:
+    """Returns the bytes of a message in a packet."""
+    return len(messages.encode(message)) + PACKET_HEADER_BYTES
+
+
 class Handler(Protocol):
     """Handles messages of the types for which it is registered."""
 
--- a/agatedock/peers/evidence_exchange.py
+++ b/agatedock/peers/evidence_exchange.py
@@ -37,13 +37,14 @@
 # Parts in one message: few, so that the most urgent reach many peers before the
 # bandwidth budget is spent. More are read, and fit into a packet.
 PARTS_SENT_MAX = 6
+URGENT_PARTS_SENT_MAX = 3
 PARTS_PER_MESSAGE_MAX = 12
 REPORTS_PER_MESSAGE_MAX = 60
 # Crashes from which on the news of a suspect are urgent.
 URGENT_CRASHES_MIN = 2
-# Part of the bandwidth budget that news leave for reservations.
+# Part of the bandwidth budget that news leave for reservations. Urgent news
+# only have to fit into what is left.
 RESERVED_BYTES = endpoint.BURST_MAX_BYTES / 4
-RESERVED_BY_URGENT_BYTES = endpoint.BURST_MAX_BYTES / 8
 # Ages are limited to one at which evidence has expired for certain.
 AGE_MAX_S = 100 * crash_evidence.EXPIRY_S
 # Answers of one part that are read from a message.
@@ -94,14 +95,19 @@
         if not names:
             return
         self._collect_news(len(names))
-        part_hashes, reserved_bytes = self._choose_news()
+        part_hashes, is_urgent = self._choose_news()
         if not part_hashes and now - self._repeated_at >= REPEAT_S:
             self._repeated_at = now
             self._evidence.drop_expired(now)
             part_hashes = self._choose_repeated()
-        if not part_hashes or not self._peer_endpoint.may_send(reserved_bytes):
+        if not part_hashes:
             return
         message = self._make_message(part_hashes, now)
+        reserved_bytes = RESERVED_BYTES
+        if is_urgent:
+            reserved_bytes = endpoint.measure(message)
+        if not self._peer_endpoint.may_send(reserved_bytes):
+            return
         address = self._peers.get_socket_address(
             hashing.hash_name(self._choose_peer(names))
         )
@@ -140,12 +146,8 @@
         else:
             self._rounds_left.pop(part_hash, None)
 
-    def _choose_news(self) -> tuple[list[int], float]:
-        """Returns the parts with the most urgent news.
-
-        Returns:
-          The parts, and the bytes of the budget that their news may not use.
-        """
+    def _choose_news(self) -> tuple[list[int], bool]:
+        """Returns the most urgent news, and whether they are urgent."""
         ranks = {
             part_hash: self._evidence.rank(part_hash)
             for part_hash in self._rounds_left
@@ -161,9 +163,9 @@
             if ranks[part_hash].is_suspect
             and ranks[part_hash].crashes >= URGENT_CRASHES_MIN
         ]
-        if urgent or not ranked:
-            return urgent[:PARTS_SENT_MAX], RESERVED_BY_URGENT_BYTES
-        return ranked[:PARTS_SENT_MAX], RESERVED_BYTES
+        if urgent:
+            return urgent[:URGENT_PARTS_SENT_MAX], True
+        return ranked[:PARTS_SENT_MAX], False
 
     def _choose_repeated(self) -> list[int]:
         ranked = sorted(
