--- a/agatedock/serving/replica_client.py
+++ b/agatedock/serving/replica_client.py
@@ -147,30 +147,8 @@
                     data=body or None,
                     allow_redirects=False,
                 )
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            raise AttemptError(retries.Outcome.NOT_SENT, str(error)) from error
-        except TimeoutError as error:
-            raise AttemptError(
-                retries.Outcome.TIMED_OUT, "no response"
-            ) from error
-        except connections.TooManyHeadsError as error:
-            raise AttemptError(
-                retries.Outcome.BROKEN,
-                str(error),
-                early_closes.Reason.NO_FINAL_HEAD,
-                error.size_bytes,
-            ) from error
-        except aiohttp.ClientResponseError as error:
-            raise AttemptError(
-                retries.Outcome.BROKEN,
-                repr(error),
-                early_closes.Reason.INVALID_HEAD,
-            ) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise AttemptError(retries.Outcome.BROKEN, repr(error)) from error
+            raise _make_attempt_error(error) from error
 
     async def read_next(self, response: aiohttp.ClientResponse) -> bytes:
         """Returns the next bytes of a body, as many as have arrived.
@@ -281,6 +259,35 @@
         response.release()
 
 
+def _make_attempt_error(error: Exception) -> AttemptError:
+    """Returns what an error says of a request at its replica.
+
+    Args:
+      error: An error of the HTTP client, or a TimeoutError, which is an
+        OSError.
+    """
+    if isinstance(
+        error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
+    ):
+        return AttemptError(retries.Outcome.NOT_SENT, str(error))
+    if isinstance(error, TimeoutError):
+        return AttemptError(retries.Outcome.TIMED_OUT, "no response")
+    if isinstance(error, connections.TooManyHeadsError):
+        return AttemptError(
+            retries.Outcome.BROKEN,
+            str(error),
+            early_closes.Reason.NO_FINAL_HEAD,
+            error.size_bytes,
+        )
+    if isinstance(error, aiohttp.ClientResponseError):
+        return AttemptError(
+            retries.Outcome.BROKEN,
+            repr(error),
+            early_closes.Reason.INVALID_HEAD,
+        )
+    return AttemptError(retries.Outcome.BROKEN, repr(error))
+
+
 def _make_session(**options: Any) -> aiohttp.ClientSession:
     session = connections.make_session(
         response_class=_Response,
