--- a/agatedock/decisions/quarantine.py
+++ b/agatedock/decisions/quarantine.py
@@ -25,7 +25,8 @@
 
 # Crashed runs of replicas from which on a part is quarantined.
 CRASHES_MIN = 3
-# The same for a retry of a request whose first replica crashed.
+# The same for a retry of a request whose first replica crashed before it
+# answered.
 RETRY_CRASHES_MIN = 2
 # Both, if an answer on the part ended whole before.
 SOUND_CRASHES_MIN = 6
@@ -105,7 +106,8 @@
       part_hashes: The parts of the request's prompt.
       version_hash: Version of the replica's software.
       evidence: Crashes by prompt part.
-      is_retry: Whether a replica crashed at an earlier attempt.
+      is_retry: Whether a replica crashed at an earlier attempt before it
+        answered.
     """
     own_parts = frozenset(part_hashes)
     for part_hash in own_parts:
--- a/agatedock/serving/crash_guard.py
+++ b/agatedock/serving/crash_guard.py
@@ -38,7 +38,8 @@
         self._replica: replicas.Replica
         self._run_hash = 0
         self._connected_at = 0.0
-        # Whether a replica crashed at an earlier attempt.
+        # Whether a replica crashed at an earlier attempt before it answered. A
+        # stream that has begun may have been cut off, as by a link.
         self._crashed = False
         # When the answer of the present attempt began; None if it has not.
         self._begun_at: float | None = None
@@ -182,9 +183,10 @@
             begun=self._begun_at is not None,
             parts=self._log_entry.format_parts(),
         )
-        self._crashed = True
         lasted_s = 0.0
-        if self._begun_at is not None:
+        if self._begun_at is None:
+            self._crashed = True
+        else:
             lasted_s = max(now - self._begun_at, LASTED_MIN_S)
         self._shared.crash_evidence.record_crash(
             self._part_hashes, self._replica, now, lasted_s
