--- a/agatedock/serving/response_forwarder.py
+++ b/agatedock/serving/response_forwarder.py
@@ -149,8 +149,10 @@
                 )
         except _READ_ERRORS as error:
             return self._end_attempt(replica_id, response, error)
-        self._guard.record_whole(shared.now())
         is_success = kind is dialect.ResponseKind.SUCCESS
+        if is_success:
+            # An error is no answer: the replica may not have read the prompt.
+            self._guard.record_whole(shared.now())
         shared.health.record_result(replica_id, is_success, shared.now())
         headers = shared.dialect.build_response_headers(
             self._request, replica_id, response.headers
--- a/test/test_crashing_part.py
+++ b/test/test_crashing_part.py
@@ -109,6 +109,15 @@
         await self.crash_replicas()
         self.assertLessEqual(self.count_arrivals(DEADLY), 8)
 
+    async def test_error_does_not_show_that_a_part_is_sound(self):
+        for item in self.replicas.values():
+            item.faults.error = 500
+        await self.chat("error", "root", "topic", DEADLY)
+        for item in self.replicas.values():
+            item.faults.error = 0
+        await self.crash_replicas()
+        self.assertLessEqual(self.count_crashes(), 4)
+
     async def test_refusals_are_counted_by_part(self):
         await self.crash_replicas()
         reporter = self.router._metrics  # noqa: SLF001
