Play crowds of clients that send too much

Cause: clients outside of the operators' control ended a process. The stand-in of a replica takes bodies over 1 MiB now.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -159,7 +159,11 @@
 
     async def _handle(self, raw: web.BaseRequest) -> web.StreamResponse:
         received = ReceivedRequest(
-            raw.method, raw.raw_path, raw.headers, await raw.read(), self.born
+            raw.method,
+            raw.raw_path,
+            raw.headers,
+            await raw.content.read(),
+            self.born,
         )
         self.received_requests.append(received)
         if isinstance(raw.transport, asyncio.Transport):
--- /dev/null
+++ b/test/crowd.py
@@ -0,0 +1,194 @@
+"""A router process before stand-ins, and clients that send too much."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import sys
+import tempfile
+import unittest
+
+import aiohttp
+
+from standins import replica
+from standins import store
+from test import platform_helper
+
+# Settings of the process: memory that it may use, and descriptors.
+MEMORY_MB = 100
+DESCRIPTORS_MAX = 256
+HEAD_MAX_BYTES = 16 * 1024
+BODY_MAX_BYTES = 4 * 1024 * 1024
+HEAD_TIMEOUT_MS = 20_000
+IDLE_TIMEOUT_MS = 60_000
+# Connections of a crowd, and what each of them sends at most.
+CROWD = 60
+SENT_MAX_BYTES = BODY_MAX_BYTES - 1
+WRITE_BYTES = 64 * 1024
+# A connection that takes nothing for this long is left open as it is.
+STALL_S = 1.0
+# Limit of a test that hangs; nothing is said about the time that a router
+# takes.
+HANG_S = 60.0
+
+
+class CrowdCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a store, replicas, and one router as a process of its own."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = store.Store()
+        await self.store.start()
+        self.replicas = [
+            replica.Replica(f"{service}-1", service)
+            for service in ("llm", "shop")
+        ]
+        for item in self.replicas:
+            await item.start()
+            self.store.put(f"servers/{item.name}", item.encode_entry())
+        limits = {
+            "MaxHeaderBytes": HEAD_MAX_BYTES,
+            "MaxBodyBytes": BODY_MAX_BYTES,
+            "HeaderTimeoutMs": HEAD_TIMEOUT_MS,
+            "IdleTimeoutMs": IDLE_TIMEOUT_MS,
+        }
+        document = platform_helper.make_configuration(Limits=limits)
+        for route in document["Routes"]:
+            route["TimeoutMs"] = 1000 * HANG_S
+        self.store.put("op/config", platform_helper.encode(document))
+        self.frontend = f"127.0.0.1:{platform_helper.find_port()}"
+        self._folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self._folder.cleanup)
+        self._writers: list[asyncio.StreamWriter] = []
+        await self._start_router()
+
+    async def _start_router(self) -> None:
+        folder = pathlib.Path(self._folder.name)
+        path = folder / "settings.toml"
+        port = platform_helper.find_port()
+        path.write_text(
+            f"""
+NodeName = "router-1"
+Ip = "127.0.0.1"
+Zone = "a"
+InternalPorts = [{port}, {port}]
+[Listen]
+Frontend = "{self.frontend}"
+Ready = "127.0.0.1:{platform_helper.find_port()}"
+[Limits]
+MemoryMb = {MEMORY_MB}
+MaxFds = {DESCRIPTORS_MAX}
+[Bounds]
+GraceS = 5
+RevokeMs = 60000
+RetryBudgetRatio = 0.2
+RetryBudgetSlack = 50
+BudgetWindowS = 10
+[Platform]
+Address = "{self.store.address}"
+"""
+        )
+        with (folder / "log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "agatedock_platform",
+                env={**os.environ, "AGATEDOCK_BOOT": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+        async with asyncio.timeout(HANG_S):
+            while await self.send_ordinary() != 200:
+                await asyncio.sleep(0.1)
+
+    async def asyncTearDown(self) -> None:
+        self.close_crowd()
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        for item in self.replicas:
+            await item.stop()
+        await self.store.stop()
+
+    async def send_ordinary(self, body: bytes = b"two bags") -> int:
+        """Sends one request inside the limits; returns its status, or 0."""
+        headers = {
+            "Host": platform_helper.HOST,
+            "X-Agatedock-Attempt-Id": "ordinary",
+            "X-Agatedock-Deadline-Ms": str(round(1000 * HANG_S)),
+            "Authorization": f"Bearer {platform_helper.KEY}",
+        }
+        url = f"http://{self.frontend}{platform_helper.ORDER}"
+        timeout = aiohttp.ClientTimeout(total=HANG_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.post(url, data=body, headers=headers) as response,
+            ):
+                await response.read()
+                return response.status
+        except aiohttp.ClientConnectionError:
+            return 0
+
+    async def send_crowd(
+        self, head: bytes, unit: bytes, size: int = CROWD
+    ) -> None:
+        """Lets a crowd send, each on a connection that stays open.
+
+        Args:
+          head: Bytes that each of them sends first.
+          unit: Bytes that follow again and again, up to SENT_MAX_BYTES; empty
+            if nothing follows.
+          size: Number of connections.
+        """
+        block = unit * (WRITE_BYTES // max(1, len(unit)) or 1)
+        async with asyncio.timeout(HANG_S):
+            await asyncio.gather(
+                *(self._send_one(head, block) for _ in range(size))
+            )
+
+    async def _send_one(self, head: bytes, block: bytes) -> None:
+        host, _, port = self.frontend.rpartition(":")
+        with contextlib.suppress(OSError, TimeoutError):
+            _, writer = await asyncio.open_connection(host, int(port))
+            self._writers.append(writer)
+            writer.write(head)
+            sent_bytes = 0
+            while block and sent_bytes < SENT_MAX_BYTES:
+                data = block[: SENT_MAX_BYTES - sent_bytes]
+                writer.write(data)
+                sent_bytes += len(data)
+                async with asyncio.timeout(STALL_S):
+                    await writer.drain()
+
+    def close_crowd(self) -> None:
+        """Closes all connections of the crowd."""
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    async def check_process(self) -> None:
+        """Asserts that the process lives within its memory and descriptors.
+
+        An ordinary request is answered beside the crowd, and one with the
+        largest body once it has gone.
+        """
+        self.assertIsNone(self.process.returncode)
+        self.assertEqual(await self.send_ordinary(), 200)
+        self.assertLessEqual(self.read_peak_mb(), MEMORY_MB)
+        self.assertLessEqual(self.count_descriptors(), DESCRIPTORS_MAX)
+        self.close_crowd()
+        self.assertEqual(await self.send_ordinary(b"x" * BODY_MAX_BYTES), 200)
+        self.assertIsNone(self.process.returncode)
+        self.assertLessEqual(self.read_peak_mb(), MEMORY_MB)
+
+    def read_peak_mb(self) -> float:
+        """Returns the most memory that the process has used."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        (line,) = [x for x in status.splitlines() if x.startswith("VmHWM:")]
+        return int(line.split()[1]) / 1024
+
+    def count_descriptors(self) -> int:
+        """Returns the open descriptors of the process."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
