Limit what clients make a process hold before their requests are sent on

What callers saw: a crowd of heads, pieces or bodies that stop short ended a router by its memory, and its callers got connection refused. Causes: (1) a body that was dropped or timed out stayed in memory, as the traceback of its exception kept the reading frame alive until a collection; (2) the library held up to 512 KiB a connection, a head of any number of lines, and trailers and extensions without end; (3) connections had no limit. Change: blocks of 32 KiB with turns, buffers of 32 KiB, limits on a whole head, on all heads, on what surrounds a body's data and on connections, from the VM's memory and descriptors; stalled bodies make room first; a refusal before the body is in closes the connection, so no 408 can follow it as a second answer. The crowds and bounds are as fixed before; two waits of the harness are new: the largest request is sent once the process has closed the crowd's connections (before, at once, while up to 20 bodies still counted), and its log line is shown.

--- a/agatedock/connections.py
+++ b/agatedock/connections.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import aiohttp
+from aiohttp import base_protocol
 from aiohttp import client_proto
 from aiohttp import helpers
 
@@ -145,7 +146,7 @@
         super().connection_made(transport)
         self._address = transport.get_extra_info("peername")
         self.peer = self._peers.add(self._address, self)
-        transport.set_protocol(_BlockReader(self))
+        transport.set_protocol(BlockReader(self, _block))
 
     def set_response_params(self, **options: Any) -> None:
         """Records that a request waits for a response."""
@@ -224,34 +225,48 @@
             super()._resume_transport_reading()
 
 
-class _BlockReader(asyncio.BufferedProtocol):
+class BlockReader(asyncio.BufferedProtocol):
     """Passes what a connection reads to its handler, in small blocks."""
 
-    def __init__(self, handler: ResponseHandler) -> None:
-        self._handler = handler
-        self._block = _block
+    def __init__(
+        self, handler: base_protocol.BaseProtocol, block: bytearray
+    ) -> None:
+        """Creates a reader.
+
+        Args:
+          handler: Handles the bytes, and the other events of the connection.
+          block: What is read at once; connections may share it, as it is copied
+            at once.
+        """
+        self._handler: Any = handler
+        self._block = block
 
     def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns where the next bytes are read to."""
         del sizehint
         return self._block
 
     def buffer_updated(self, nbytes: int) -> None:
+        """Passes on what was read."""
         self._handler.data_received(bytes(memoryview(self._block)[:nbytes]))
 
     def eof_received(self) -> None:
+        """Passes on that the peer sends nothing more."""
         self._handler.eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Passes on that the connection was closed."""
         self._handler.connection_lost(exc)
 
     def pause_writing(self) -> None:
+        """Passes on that the peer reads too slowly."""
         self._handler.pause_writing()
 
     def resume_writing(self) -> None:
+        """Passes on that the peer has read enough."""
         self._handler.resume_writing()
 
 
-# Shared by all connections, as each block is copied as soon as it was read.
 _block = bytearray(BLOCK_BYTES)
 
 
--- a/agatedock/native/client_api.py
+++ b/agatedock/native/client_api.py
@@ -22,7 +22,7 @@
 from agatedock.serving import authorization
 from agatedock.serving import dialect
 from agatedock.serving import downstream
-from agatedock.serving import frontend
+from agatedock.serving import http_downstream
 from agatedock.serving import reporter
 from agatedock.serving import request_errors
 from agatedock.serving import request_handler
@@ -55,7 +55,7 @@
         self.router: routers.Router
 
     async def serve(
-        self, raw: web.BaseRequest, client: frontend.HttpDownstream
+        self, raw: web.BaseRequest, client: http_downstream.HttpDownstream
     ) -> None:
         """Serves one request; health and models need no account."""
         if raw.path == HEALTH_PATH:
@@ -65,7 +65,9 @@
         else:
             await self._serve_request(raw, client)
 
-    async def _send_health(self, client: frontend.HttpDownstream) -> None:
+    async def _send_health(
+        self, client: http_downstream.HttpDownstream
+    ) -> None:
         view = self.router.shared.configuration_view
         ready = not self.router.is_stopping and view.current is not None
         body = json.dumps({"ready": ready, "revision": view.revision})
@@ -73,7 +75,9 @@
             200 if ready else 503, _JSON_HEADERS, body.encode()
         )
 
-    async def _send_models(self, client: frontend.HttpDownstream) -> None:
+    async def _send_models(
+        self, client: http_downstream.HttpDownstream
+    ) -> None:
         current = self._find_configuration()
         models = current.document.models if current else ()
         model_list = [{"id": model.name, "object": "model"} for model in models]
@@ -90,7 +94,7 @@
         return current
 
     async def _serve_request(
-        self, raw: web.BaseRequest, client: frontend.HttpDownstream
+        self, raw: web.BaseRequest, client: http_downstream.HttpDownstream
     ) -> None:
         """Serves a request of an account, or sends an error response."""
         arrived_at = self.router.shared.now()
@@ -118,7 +122,7 @@
     async def _serve_unless_duplicate(
         self,
         raw: web.BaseRequest,
-        client: frontend.HttpDownstream,
+        client: http_downstream.HttpDownstream,
         client_headers: client_requests.ClientHeaders,
         arrived_at: float,
     ) -> None:
@@ -147,7 +151,7 @@
 
     async def _serve_chat(
         self,
-        client: frontend.HttpDownstream,
+        client: http_downstream.HttpDownstream,
         client_headers: client_requests.ClientHeaders,
         arrived_at: float,
     ) -> None:
@@ -171,7 +175,7 @@
     async def _serve_service(
         self,
         raw: web.BaseRequest,
-        client: frontend.HttpDownstream,
+        client: http_downstream.HttpDownstream,
         client_headers: client_requests.ClientHeaders,
         arrived_at: float,
     ) -> None:
@@ -206,7 +210,7 @@
             response.status, response.headers, response.body
         )
 
-    async def _read_body(self, client: frontend.HttpDownstream) -> bytes:
+    async def _read_body(self, client: http_downstream.HttpDownstream) -> bytes:
         return await client.read_body(
             self._limits.body_max_bytes, self._limits.body_timeout_ms / 1000
         )
--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -17,6 +17,7 @@
 from agatedock import errors
 from agatedock import logs
 from agatedock import metrics
+from agatedock.decisions import client_limits
 from agatedock.decisions import draining
 from agatedock.domain import requests
 from agatedock.peers import draining_exchange
@@ -56,6 +57,7 @@
       item_decoder: Decodes the items of a listing.
       http_handler: Handles the HTTP requests of clients.
       reporter: Logs and counts the requests.
+      client_limits: What all clients together may make the process hold.
       count_pending_requests: Returns the number of requests that run on after
         their client has disconnected.
     """
@@ -65,6 +67,7 @@
     item_decoder: listings.ItemDecoder
     http_handler: frontend.HttpHandler
     reporter: reporter.Reporter
+    client_limits: client_limits.ClientLimits = client_limits.ClientLimits()
     count_pending_requests: Callable[[], int] = _count_no_requests
 
 
@@ -92,7 +95,9 @@
         self._reporter = dependencies.reporter
         self._count_pending_requests = dependencies.count_pending_requests
         self._handlers: set[request_handler.RequestHandler] = set()
-        self.frontend = frontend.Frontend(dependencies.http_handler)
+        self.frontend = frontend.Frontend(
+            dependencies.http_handler, dependencies.client_limits
+        )
         self.endpoint = endpoint.Endpoint(self.shared.now)
         self.gossip = gossip.Gossip(
             identity,
@@ -291,6 +296,8 @@
                 self.shared.reservations.owner_timeouts
             ),
             "agatedock_request_bodies_bytes": self.frontend.bodies.held_bytes,
+            "agatedock_request_heads_bytes": self.frontend.clients.heads_bytes,
+            "agatedock_client_connections": self.frontend.count_connections(),
             "agatedock_response_buffers_bytes": (
                 self.shared.response_buffers.held_bytes
             ),
@@ -307,6 +314,10 @@
                 "agatedock_responses_cut", count, {"reason": reason}
             )
 
+        for cut_reason, count in self.frontend.clients.counts.items():
+            meters.set_gauge(
+                "agatedock_clients_cut", count, {"reason": cut_reason}
+            )
         for service, share in self.shared.crossing.list_shares().items():
             meters.set_gauge(
                 "agatedock_leaving_share", share, {"service": service}
--- a/test/crowd.py
+++ b/test/crowd.py
@@ -101,6 +101,8 @@
         async with asyncio.timeout(HANG_S):
             while await self.send_ordinary() != 200:
                 await asyncio.sleep(0.1)
+        # With a connection to a replica and one to the store.
+        self._resting_descriptors = self.count_descriptors() + 2
 
     async def asyncTearDown(self) -> None:
         self.close_crowd()
@@ -175,14 +177,30 @@
         largest body once it has gone.
         """
         self.assertIsNone(self.process.returncode)
-        self.assertEqual(await self.send_ordinary(), 200)
+        await self._check_served(b"two bags")
         self.assertLessEqual(self.read_peak_mb(), MEMORY_MB)
         self.assertLessEqual(self.count_descriptors(), DESCRIPTORS_MAX)
-        self.close_crowd()
-        self.assertEqual(await self.send_ordinary(b"x" * BODY_MAX_BYTES), 200)
+        await self._end_crowd()
+        await self._check_served(b"x" * BODY_MAX_BYTES)
         self.assertIsNone(self.process.returncode)
         self.assertLessEqual(self.read_peak_mb(), MEMORY_MB)
 
+    async def _check_served(self, body: bytes) -> None:
+        status = await self.send_ordinary(body)
+        self.assertEqual(status, 200, self._read_last_line())
+
+    def _read_last_line(self) -> list[str]:
+        """Returns the log line of the last ordinary request."""
+        log = pathlib.Path(self._folder.name, "log").read_text()
+        return [line for line in log.splitlines() if "id=ordinary" in line][-1:]
+
+    async def _end_crowd(self) -> None:
+        """Closes the crowd, and waits until the process has closed it too."""
+        self.close_crowd()
+        async with asyncio.timeout(HANG_S):
+            while self.count_descriptors() > self._resting_descriptors:
+                await asyncio.sleep(0.1)
+
     def read_peak_mb(self) -> float:
         """Returns the most memory that the process has used."""
         status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
