--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -30,6 +30,7 @@
 from agatedock.peers import reservations
 from agatedock.serving import downstream
 from agatedock.serving import frontend
+from agatedock.serving import gauges
 from agatedock.serving import loop_monitor
 from agatedock.serving import reporter
 from agatedock.serving import request_handler
@@ -257,71 +258,19 @@
 
     def set_gauges(self, meters: metrics.Metrics) -> None:
         """Sets this router's gauges before a metrics scrape."""
-        view = self.shared.configuration_view
-        gauges = {
-            "agatedock_configuration_revision": view.revision,
-            "agatedock_configuration_age_seconds": view.age_s(
-                self.shared.now()
-            ),
-            "agatedock_configuration_version": view.version,
+        gauges.set_shared_gauges(self.shared, meters)
+        gauges.set_replica_gauges(self.shared, meters)
+        gauges.set_client_gauges(self.frontend, meters)
+        own_gauges = {
             "agatedock_store_era": self.follower.listing.era,
             "agatedock_requests_running": self.count_running(),
-            "agatedock_peer_rows_age_seconds": self.shared.routers.mean_age_s(
-                self.shared.now()
-            ),
-            "agatedock_peers": self.shared.routers.count(),
-            "agatedock_replicas": self.shared.directory.count(),
-            "agatedock_suspect_parts": len(
-                self.shared.crash_evidence.list_parts()
-            ),
-            "agatedock_replicas_paused": self.shared.pauses.count(
-                self.shared.now()
-            ),
-            "agatedock_replicas_rate_limited": (
-                self.shared.replica_limits.count()
-            ),
-            "agatedock_rate_limit_denials": (
-                self.shared.replica_limits.denied_count
-            ),
-            "agatedock_replicas_cold": self.shared.cold_replicas.count(
-                self.shared.now()
-            ),
-            "agatedock_domains_evacuated": len(
-                self.shared.directory.evacuations.list_domains()
-            ),
-            "agatedock_replicas_told_draining": (
-                self.shared.directory.count_told_draining()
-            ),
-            "agatedock_questions_unanswered": (
-                self.shared.reservations.owner_timeouts
-            ),
-            "agatedock_request_bodies_bytes": self.frontend.bodies.held_bytes,
-            "agatedock_request_heads_bytes": self.frontend.clients.heads_bytes,
-            "agatedock_client_connections": self.frontend.count_connections(),
-            "agatedock_response_buffers_bytes": (
-                self.shared.response_buffers.held_bytes
-            ),
             "agatedock_peer_bytes_sent": self.endpoint.bytes_sent,
             "agatedock_event_loop_lag_seconds": (
                 self._loop_monitor.take_longest_s()
             ),
-            "agatedock_log_lines_lost": logs.count_lost_lines(),
         }
-        for name, value in gauges.items():
+        for name, value in own_gauges.items():
             meters.set_gauge(name, value)
-        for reason, count in self.shared.early_closes.counts.items():
-            meters.set_gauge(
-                "agatedock_responses_cut", count, {"reason": reason}
-            )
-
-        for cut_reason, count in self.frontend.clients.counts.items():
-            meters.set_gauge(
-                "agatedock_clients_cut", count, {"reason": cut_reason}
-            )
-        for service, share in self.shared.crossing.list_shares().items():
-            meters.set_gauge(
-                "agatedock_leaving_share", share, {"service": service}
-            )
 
     def _apply_configuration(self) -> None:
         config = self.shared.configuration_view.current
