--- a/agatedock/serving/gauges.py
+++ b/agatedock/serving/gauges.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from agatedock import logs
 from agatedock import metrics
 from agatedock.serving import frontend
@@ -67,6 +69,6 @@
         meters.set_gauge("agatedock_clients_cut", count, {"reason": reason})
 
 
-def _set_all(meters: metrics.Metrics, gauges: dict[str, float]) -> None:
+def _set_all(meters: metrics.Metrics, gauges: Mapping[str, float]) -> None:
     for name, value in gauges.items():
         meters.set_gauge(name, value)
