Let the soak play evacuations and cold replicas; take refusals for restarts

Cause: nothing showed both rules under the other faults, and a replica that starts again under its id is cold before any listing says so. A replica that refuses a connection counts as cold for its service's cold time beyond the longest suspension.

--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -495,6 +495,7 @@
         except replica_client.AttemptError as error:
             self._record_unreachable(replica.replica_id)
             if error.outcome is retries.Outcome.NOT_SENT:
+                shared.record_refused(replica, shared.now())
                 self._may_have_run = may_have_run_before
                 if newly_reached:
                     self._attempt_count -= 1
--- a/agatedock/serving/state.py
+++ b/agatedock/serving/state.py
@@ -237,6 +237,17 @@
             part_hash = hashing.hash_name(part.part_id)
             self.prefixes.add_holder(part_hash, replica_hash, now)
 
+    def record_refused(self, replica: replicas.Replica, now: float) -> None:
+        """Records that a replica accepted no connection.
+
+        It may have ended, and is cold then when it starts again. The listing
+        may show that late.
+        """
+        service = self.find_service(replica.service)
+        if service is not None and service.cold_rate is not None:
+            until = now + health.SUSPEND_MAX_S + service.cold_s
+            self.cold_replicas.record(replica, service.cold_rate, until)
+
     def remove_replica(self, replica_id: str) -> None:
         """Removes the state of a replica that has ended or restarted."""
         self.health.forget(replica_id)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -116,13 +116,22 @@
         self.born = max(self.born + 1, time.time_ns() // 1_000_000)
 
     def crash(self) -> None:
-        """Resets all connections, and starts a new run a while later."""
+        """Ends by a fault of its own, and starts a new run a while later."""
         self.crashes.append(time.monotonic())
+        self.restart()
+
+    def restart(self) -> None:
+        """Resets all connections, and starts a new run a while later."""
         for transport in self._connections:
             _reset_transport(transport)
         self._connections.clear()
         self._restart_task = asyncio.create_task(self._restart())
 
+    @property
+    def is_down(self) -> bool:
+        """Returns whether it has crashed and not started again."""
+        return self._restart_task is not None and not self._restart_task.done()
+
     async def _restart(self) -> None:
         assert self._runner is not None
         for site in list(self._runner.sites):
--- a/test/soak.py
+++ b/test/soak.py
@@ -30,6 +30,7 @@
 from test import platform_helper
 from test import soak_endless
 from test import soak_notices
+from test import soak_places
 from test import soak_rate_limits
 
 ROUTER_COUNT = 3
@@ -164,6 +165,10 @@
         self._folder = folder
         self._store = store.Store()
         self._endless = soak_endless.EndlessReplicas(self._store, self._random)
+        self._has_places = seed >= soak_places.FIRST_SEED
+        self._places = soak_places.Places(
+            self._store, self._random, self._register
+        )
         self._replicas: list[replica.Replica] = []
         self._proxies: list[proxy.Proxy] = []
         self._link_disturbances: dict[str, soak_notices.Disturbances] = {}
@@ -206,6 +211,10 @@
             service = ("llm", "shop")[number % 2]
             item = replica.Replica(f"{service}-{number}", service)
             item.work_s = 0.02
+            if self._has_places:
+                item.zone = ZONES[number // 2 % len(ZONES)]
+                item.on_restart = self._register
+                self._places.replicas.append(item)
             await item.start()
             front = await self._add_proxy(item.address)
             item.address = front.address
@@ -257,6 +266,8 @@
             Routes=[*routes, *added],
             Tenants=[{"Name": "office", "ApiKeys": list(self._keys)}],
         )
+        if self._has_places:
+            document["Services"] = [soak_places.SERVICE, {"Name": "shop"}]
         data = platform_helper.encode(document)
         self._store.put("op/config", data)
 
@@ -271,6 +282,10 @@
 Ip = "127.0.0.1"
 Zone = "{zone}"
 InternalPorts = [{port}, {port}]
+Contracts = [{'"places"' if self._has_places else ""}]
+[Zones]
+a = "here"
+b = "here"
 [Listen]
 Frontend = "{frontend}"
 Ready = "127.0.0.1:{platform_helper.find_port()}"
@@ -435,6 +450,8 @@
             faults += 2 * (self._restore_store,) + 4 * (self._add_route,)
         if self._has_endless:
             faults += 4 * (self._endless.join,)
+        if self._has_places:
+            faults += 4 * (self._places.evacuate, self._places.return_cold)
         return faults
 
     async def _fail_link(self) -> None:
@@ -555,6 +572,7 @@
             restored_at = time.monotonic()
             await asyncio.gather(
                 self._write_again(self._configure),
+                self._write_again(self._places.write_again),
                 *(
                     self._write_again(functools.partial(self._register, item))
                     for item in self._replicas
@@ -662,6 +680,11 @@
                 if record.attempt_id in calls
             ]
             self.violations += soak_notices.find_violations(item.name, arrivals)
+            self.violations += self._places.find_violations(
+                item,
+                arrivals,
+                [self._store_disturbances, self._store_link_disturbances],
+            )
             for limited in self._limited_times:
                 if limited.replica_name == item.name:
                     self.violations += soak_rate_limits.find_excesses(
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -10,6 +10,7 @@
 
 from test import soak
 from test import soak_endless
+from test import soak_places
 
 SEEDS = (
     1,
@@ -22,6 +23,7 @@
     soak.FIRST_RESTORE_SEED + 1,
     soak_endless.FIRST_SEED,
     soak_endless.FIRST_SEED + 1,
+    soak_places.FIRST_SEED,
 )
 # Seed -> cause of its failure, since fixed.
 REGRESSIONS = {
