Prefer others to a replica that sends nothing while requests wait for it

What callers see: engines that go dark keep getting requests until some timeout; those that may run only once have none, so they end with their deadline. Cause: only idempotent requests and resumable streams have a timeout that suspends a replica (1.6 s and more). Change: each request watches the replica that it waits for; one that has sent nothing to this router on any connection for 1.5 times the route's longest pause (0.6 s at least), or the target latency before the response begins (0.8 s at least), is avoided for 2 s, and other routers are told.

--- a/agatedock/domain/configuration.py
+++ b/agatedock/domain/configuration.py
@@ -45,6 +45,8 @@
       public: Whether requests need no API key.
       resumable: Whether a broken stream may continue at another replica.
       regions: Regions whose replicas may serve it; None for all.
+      target_gap_s: Longest pause within a stream for which it is on time; 0 if
+        unknown.
     """
 
     name: str
@@ -57,6 +59,7 @@
     public: bool
     resumable: bool
     regions: frozenset[str] | None = None
+    target_gap_s: float = 0.0
 
     @property
     def is_idempotent(self) -> bool:
--- a/agatedock/peers/messages.py
+++ b/agatedock/peers/messages.py
@@ -230,6 +230,16 @@
     run_hashes: list[int]
 
 
+class SilentRuns(msgspec.Struct, array_like=True, frozen=True, tag=9):
+    """Runs of replicas that send nothing, sent to random peers.
+
+    Attributes:
+      run_hashes: Hashes of the runs.
+    """
+
+    run_hashes: list[int]
+
+
 Reply = ReservationReply | PartHolders
 Message = (
     GossipMessage
@@ -238,6 +248,7 @@
     | Departures
     | CrashEvidence
     | DrainingRuns
+    | SilentRuns
     | Reply
 )
 
--- a/agatedock/serving/gauges.py
+++ b/agatedock/serving/gauges.py
@@ -48,6 +48,7 @@
             directory.evacuations.list_domains()
         ),
         "agatedock_replicas_paused": shared.pauses.count(now),
+        "agatedock_replicas_found_silent": shared.silences.count,
         "agatedock_replicas_cold": shared.cold_replicas.count(now),
         "agatedock_replicas_rate_limited": limits.count(),
         "agatedock_rate_limit_denials": limits.denied_count,
--- a/agatedock/serving/request_handler.py
+++ b/agatedock/serving/request_handler.py
@@ -12,14 +12,13 @@
 
 import aiohttp
 
-from agatedock.decisions import admission
 from agatedock.decisions import placement
 from agatedock.decisions import retries
-from agatedock.decisions import shares
 from agatedock.domain import configuration
 from agatedock.domain import replicas
 from agatedock.domain import requests
 from agatedock.serving import access_log
+from agatedock.serving import admission_checks
 from agatedock.serving import authorization
 from agatedock.serving import crash_guard
 from agatedock.serving import dialect
@@ -34,7 +33,7 @@
 from agatedock.views import occupancy
 
 # Retry-After when the request failed but another attempt may succeed.
-DEFAULT_RETRY_AFTER_S = 0.3
+DEFAULT_RETRY_AFTER_S = admission_checks.DEFAULT_RETRY_AFTER_S
 # Timeout for a response head, and for a body that is not streamed, as a
 # multiple of the target latency. After it, an idempotent request is retried on
 # another replica; other requests have no such timeout.
@@ -263,7 +262,8 @@
         rank = route.rank if account.rank is None else account.rank
         flow = occupancy.Flow(service, rank, account.name, account.weight)
         shared.occupancy.record_demand(flow, now)
-        self._check_drain(route, service, now)
+        if not self._forwarder.streaming:
+            admission_checks.check_drain(shared, route, service, now)
         service_config = self._configuration.services.get(service)
         chosen = None
         if service_config is not None:
@@ -282,85 +282,23 @@
         # without admission control.
         if not self._forwarder.streaming:
             try:
-                self._check_admission(route, flow, chosen, shared.now())
+                admission_checks.check_admission(
+                    shared,
+                    flow,
+                    chosen,
+                    admission_checks.Limits(
+                        route.target_latency_s,
+                        self._get_remaining_s(route),
+                        bool(self._request.prompt),
+                        self._configuration.floors,
+                    ),
+                    shared.now(),
+                )
             except request_errors.RequestError:
                 shared.reservations.release(chosen.replica.replica_id)
                 raise
         return flow, chosen
 
-    def _check_drain(
-        self, route: configuration.Route, service: str, now: float
-    ) -> None:
-        """Rejects a request that would be cut when the router shuts down.
-
-        Raises:
-          request_errors.RequestError: It would take longer than there is time.
-        """
-        expected_s = max(
-            self._shared.durations.mean_s(service), route.target_latency_s
-        )
-        if self._forwarder.streaming or self._shared.drain.can_finish(
-            expected_s, now
-        ):
-            return
-        raise request_errors.RequestError(
-            request_errors.ErrorCode.STOPPING,
-            f"it would take {expected_s:.2f} s",
-            retry_after_s=DEFAULT_RETRY_AFTER_S,
-        )
-
-    def _check_admission(
-        self,
-        route: configuration.Route,
-        flow: occupancy.Flow,
-        chosen: placement.Placement,
-        now: float,
-    ) -> None:
-        """Applies admission control if the chosen replica is at capacity.
-
-        Raises:
-          request_errors.RequestError: The request would wait too long, or the
-            flow exceeds its share.
-        """
-        if not admission.is_full(chosen.running, chosen.replica.slots):
-            return
-        shared = self._shared
-        # Replicas queue prompts by rank (priority class, 0 is highest) and
-        # other requests first in, first out.
-        fraction_ahead = 1.0
-        if self._request.prompt:
-            fraction_ahead = shared.occupancy.fraction_ahead(
-                flow.service, flow.rank
-            )
-        queue = admission.QueueState(
-            running=chosen.running,
-            slots=chosen.replica.slots,
-            # The target latency serves as estimate until a request was served.
-            duration_s=shared.durations.mean_s(flow.service)
-            or route.target_latency_s,
-            target_latency_s=route.target_latency_s,
-            remaining_s=self._get_remaining_s(route),
-            fraction_ahead=fraction_ahead,
-            exceeds_share=shares.exceeds_share(
-                shared.occupancy,
-                flow,
-                self._configuration.floors,
-                shared.compute_slot_share(flow.service, now),
-                now,
-            ),
-        )
-        decision = admission.decide(queue)
-        if not decision.admitted:
-            reason = request_errors.ErrorCode.OVERLOADED
-            if queue.exceeds_share:
-                reason = request_errors.ErrorCode.OVER_SHARE
-            raise request_errors.RequestError(
-                reason,
-                f"{chosen.running} requests at {chosen.replica.replica_id}, "
-                f"which runs {chosen.replica.slots}",
-                retry_after_s=decision.retry_after_s,
-            )
-
     def _spend_retry(
         self,
         route: configuration.Route,
@@ -448,7 +386,10 @@
         shared.record_cached_parts(self._request, replica, now)
         shared.occupancy.begin(flow)
         try:
-            return await self._send_to_replica(route, attempt)
+            with shared.silences.watch(
+                replica, route, lambda: self._head_received
+            ):
+                return await self._send_to_replica(route, attempt)
         except asyncio.CancelledError:
             # The client disconnected, or the request timed out.
             shared.replica_client.cancel(
--- a/agatedock/serving/response_forwarder.py
+++ b/agatedock/serving/response_forwarder.py
@@ -203,6 +203,7 @@
                 return self._end_attempt(replica_id, response, error)
             if batch is None:
                 break
+            self._shared.health.record_activity(replica_id, self._shared.now())
             if batch.data:
                 await self._write_batch(batch)
                 has_events = True
--- a/agatedock/serving/router.py
+++ b/agatedock/serving/router.py
@@ -20,7 +20,6 @@
 from agatedock.decisions import client_limits
 from agatedock.decisions import draining
 from agatedock.domain import requests
-from agatedock.peers import draining_exchange
 from agatedock.peers import endpoint
 from agatedock.peers import evidence_exchange
 from agatedock.peers import followers
@@ -28,6 +27,8 @@
 from agatedock.peers import listings
 from agatedock.peers import relay
 from agatedock.peers import reservations
+from agatedock.peers import run_exchange
+from agatedock.peers import run_news
 from agatedock.serving import downstream
 from agatedock.serving import frontend
 from agatedock.serving import gauges
@@ -124,13 +125,7 @@
             self.shared.crash_evidence,
             self.shared.now,
         )
-        self._draining_exchange = draining_exchange.DrainingExchange(
-            self.endpoint,
-            self.gossip,
-            self.shared.directory,
-            self.shared.health,
-            self.shared.now,
-        )
+        self._run_exchanges = self._make_run_exchanges()
         self._listing_client = relay.ListingClient()
         self._loop_monitor = loop_monitor.LoopMonitor()
         self.follower = followers.Follower(
@@ -144,6 +139,23 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _make_run_exchanges(self) -> list[run_exchange.RunExchange]:
+        shared = self.shared
+        return [
+            run_exchange.RunExchange(
+                news,
+                self.endpoint,
+                self.gossip,
+                shared.directory,
+                shared.health,
+                shared.now,
+            )
+            for news in (
+                run_news.make_draining_news(shared.directory),
+                run_news.make_silence_news(shared.silences),
+            )
+        ]
+
     @property
     def is_stopping(self) -> bool:
         """Returns whether the router is draining."""
@@ -181,12 +193,15 @@
             self.gossip.run,
             self.shared.reservations.run,
             self._evidence_exchange.run,
-            self._draining_exchange.run,
+            self._run_exchange_rounds,
             self._loop_monitor.run,
         )
         for run_task in (*own_tasks, *extra_tasks):
             self._tasks.append(asyncio.create_task(run_with_restart(run_task)))
 
+    async def _run_exchange_rounds(self) -> None:
+        await run_exchange.run(self._run_exchanges, self.shared.now)
+
     async def handle_request(
         self, request: requests.Request, client: downstream.Downstream
     ) -> request_handler.RequestHandler:
--- a/agatedock/serving/state.py
+++ b/agatedock/serving/state.py
@@ -21,6 +21,7 @@
 from agatedock.serving import dialect
 from agatedock.serving import early_closes
 from agatedock.serving import replica_client
+from agatedock.serving import silences
 from agatedock.views import cold_replicas
 from agatedock.views import configuration_view
 from agatedock.views import crash_evidence
@@ -86,6 +87,7 @@
       reservations: Reservations with the owners of replicas' counts; set by
         the Router, which creates them.
       crossing: The share of requests that leaves this failure domain.
+      silences: Watches replicas that send nothing.
       view: What placement decides from; made of the fields above.
     """
 
@@ -146,6 +148,7 @@
         self.replica_limits = replica_limits.ReplicaLimits(
             self.directory.get_by_hash, self.cold_replicas
         )
+        self.silences = silences.Silences(self.health, self.now)
         self.crossing = crossings.Crossings(
             self.zone if self.considers_domains else "",
             self.routers,
--- a/agatedock/views/health.py
+++ b/agatedock/views/health.py
@@ -55,6 +55,11 @@
         """Records that a replica sent some data."""
         self._get(replica_id).last_activity_at = now
 
+    def get_last_activity_at(self, replica_id: str) -> float:
+        """Returns when a replica last sent any data, in seconds."""
+        status = self._by_id.get(replica_id)
+        return float("-inf") if status is None else status.last_activity_at
+
     def record_result(self, replica_id: str, ok: bool, now: float) -> None:
         """Records whether a request that reached a replica succeeded."""
         status = self._get(replica_id)
--- a/test/test_draining.py
+++ b/test/test_draining.py
@@ -11,8 +11,9 @@
 
 from agatedock.domain import replicas
 from agatedock.native import native_dialect
-from agatedock.peers import draining_exchange
 from agatedock.peers import messages
+from agatedock.peers import run_exchange
+from agatedock.peers import run_news
 from agatedock.views import crash_reports
 from agatedock.views import directory
 from agatedock.views import health
@@ -253,14 +254,17 @@
         self.health = health.ReplicaHealth()
         listed = [helper.make_replica(number) for number in range(6)]
         helper.apply_listing(self.directory, listed, 0.0, 0.0)
-        self.exchange = draining_exchange.DrainingExchange(
+        self.exchange = run_exchange.RunExchange(
+            run_news.make_draining_news(self.directory),
             node.peer_endpoint,
             node.gossip,
             self.directory,
             self.health,
             asyncio.get_running_loop().time,
         )
-        self.task = asyncio.create_task(self.exchange.run())
+        self.task = asyncio.create_task(
+            run_exchange.run([self.exchange], asyncio.get_running_loop().time)
+        )
 
     def avoids(self, number: int) -> bool:
         """Returns whether other replicas are preferred to one."""
