Choose replicas of small pools also by how slow their hosts are

Cause: what replicas say of their load was taken off their answers and thrown away, so a replica on a slow host got as much as the others. Change: the report is decoded at the edge; the host's figure is smoothed (half-life 1 s) and forgotten after 5 s; requests without long prompts prefer the replica that they make less busy, counts times slowness. One report decides little and many of one moment as little, so routers do not jump together. Gauge agatedock_replica_slowness, dump slowness.

--- a/agatedock/decisions/fleet_view.py
+++ b/agatedock/decisions/fleet_view.py
@@ -79,6 +79,8 @@
       is_paused: Returns whether a replica is to get no requests at a time.
       limits: Rate limits of replicas.
       is_evacuated: Returns whether a failure domain gets nothing new.
+      get_slowness: Returns how many times as long as usual work takes at a
+        replica.
       get_leaving_share: Returns which share of a service's requests is sent to
         other failure domains, by the present load; None if domains are not
         considered.
@@ -94,4 +96,5 @@
     limits: LimitView
     is_paused: Callable[[replicas.Replica, float], bool] = lambda *_: False
     is_evacuated: Callable[[str], bool] = lambda _: False
+    get_slowness: Callable[[str], float] = lambda _: 1.0
     get_leaving_share: Callable[[str], float | None] = lambda _: None
--- a/agatedock/decisions/placement.py
+++ b/agatedock/decisions/placement.py
@@ -22,6 +22,7 @@
 from agatedock.decisions import fetching
 from agatedock.decisions import fleet_view
 from agatedock.decisions import load_bounds
+from agatedock.decisions import load_reports
 from agatedock.domain import configuration
 from agatedock.domain import replicas
 from agatedock.domain import requests
@@ -367,14 +368,18 @@
 def order_by_load(
     task: Task, candidates: list[replicas.Replica], view: fleet_view.FleetView
 ) -> PreferenceList:
-    """Prefers the less loaded of two replicas, then this failure domain.
+    """Prefers the less busy of two replicas, then this failure domain.
 
     If failure domains are considered, a request goes to another domain than
     this one only if it belongs to the share that leaves, or finds no capacity.
     """
 
-    def sort_key(item: replicas.Replica) -> tuple[int, bool]:
-        return view.loads.count_total(item.replica_id), item.zone != view.zone
+    def sort_key(item: replicas.Replica) -> tuple[float, bool]:
+        work = load_reports.compute_expected_work(
+            view.loads.count_total(item.replica_id),
+            view.get_slowness(item.replica_id),
+        )
+        return work, item.zone != view.zone
 
     mean = load_bounds.compute_mean(
         task.service.name, task.usable, task.limited_ids, view
--- a/agatedock/serving/dialect.py
+++ b/agatedock/serving/dialect.py
@@ -46,12 +46,14 @@
         second from all routers together; usually one or none.
       cold_ms: Value with which it says how much longer it is cold, in
         milliseconds; None if it said nothing.
+      load: Value with which it reports its load; None if it reported none.
     """
 
     draining: bool = False
     retry_after: str | None = None
     rate_limit: tuple[str, ...] = ()
     cold_ms: str | None = None
+    load: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/agatedock/serving/dump.py
+++ b/agatedock/serving/dump.py
@@ -64,6 +64,7 @@
     running: int
     failure_rate: float
     rate_limit: float | None
+    slowness: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,6 +169,7 @@
         running=shared.loads.count_total(replica.replica_id),
         failure_rate=round(failure_rate, 3),
         rate_limit=shared.replica_limits.get_rate(replica, shared.now()),
+        slowness=round(shared.get_slowness(replica.replica_id), 2),
     )
 
 
--- a/agatedock/serving/gauges.py
+++ b/agatedock/serving/gauges.py
@@ -54,6 +54,12 @@
         "agatedock_rate_limit_denials": limits.denied_count,
     }
     _set_all(meters, gauges)
+    for replica_id, slowness in shared.replica_reports.list_slowness(
+        now
+    ).items():
+        meters.set_gauge(
+            "agatedock_replica_slowness", slowness, {"replica": replica_id}
+        )
 
 
 def set_client_gauges(
--- a/agatedock/serving/notices.py
+++ b/agatedock/serving/notices.py
@@ -9,6 +9,7 @@
 from agatedock import clock
 from agatedock import logs
 from agatedock.decisions import cold_times
+from agatedock.decisions import load_reports
 from agatedock.decisions import pauses
 from agatedock.decisions import rate_limits
 from agatedock.domain import replicas
@@ -44,6 +45,8 @@
     )
     if notice.cold_ms is not None:
         _heed_cold_time(shared, replica, notice.cold_ms)
+    if notice.load is not None:
+        _heed_load(shared, replica, notice.load)
     if not notice.draining and notice.retry_after is None:
         return notice
     logs.event(
@@ -72,6 +75,23 @@
     return notice
 
 
+def _heed_load(
+    shared: state.SharedState, replica: replicas.Replica, value: str
+) -> None:
+    """Records what a replica says of its load."""
+    report = load_reports.parse_report(value)
+    if report is None:
+        logs.event(
+            _log,
+            "load_unreadable",
+            logging.WARNING,
+            replica=replica.replica_id,
+            value=value[:LOGGED_VALUE_CHARS_MAX],
+        )
+        return
+    shared.replica_reports.record(replica.replica_id, report, shared.now())
+
+
 def _heed_cold_time(
     shared: state.SharedState, replica: replicas.Replica, value: str
 ) -> None:
--- a/agatedock/serving/state.py
+++ b/agatedock/serving/state.py
@@ -32,6 +32,7 @@
 from agatedock.views import occupancy
 from agatedock.views import prefixes
 from agatedock.views import replica_limits
+from agatedock.views import replica_reports
 from agatedock.views import routers
 
 _HASH_RANGE = 2**64
@@ -73,6 +74,7 @@
       pauses: Replicas that asked for a pause.
       cold_replicas: Replicas that take few requests as they are cold.
       replica_limits: Rate limits of replicas; set after creation.
+      replica_reports: What replicas say of their load.
       crash_evidence: Prompt parts that may have crashed replicas.
       probes: Requests that tried a quarantined part again.
       health: Results of recent requests by replica.
@@ -109,6 +111,9 @@
     cold_replicas: cold_replicas.ColdReplicas = dataclasses.field(
         default_factory=cold_replicas.ColdReplicas
     )
+    replica_reports: replica_reports.ReplicaReports = dataclasses.field(
+        default_factory=replica_reports.ReplicaReports
+    )
     crash_evidence: crash_evidence.CrashEvidence = dataclasses.field(
         default_factory=crash_evidence.CrashEvidence
     )
@@ -167,6 +172,7 @@
             is_paused=self.pauses.is_paused,
             limits=self.replica_limits,
             is_evacuated=self.directory.evacuations.includes,
+            get_slowness=self.get_slowness,
             get_leaving_share=self.crossing.get_share,
         )
 
@@ -240,6 +246,10 @@
             part_hash = hashing.hash_name(part.part_id)
             self.prefixes.add_holder(part_hash, replica_hash, now)
 
+    def get_slowness(self, replica_id: str) -> float:
+        """Returns how many times as long as usual work takes at a replica."""
+        return self.replica_reports.get_slowness(replica_id, self.now())
+
     def record_refused(self, replica: replicas.Replica, now: float) -> None:
         """Records that a replica accepted no connection.
 
@@ -254,6 +264,7 @@
     def remove_replica(self, replica_id: str) -> None:
         """Removes the state of a replica that has ended or restarted."""
         self.health.forget(replica_id)
+        self.replica_reports.forget(replica_id)
         replica_hash = hashing.hash_name(replica_id)
         self.prefixes.forget(replica_hash)
         self.reservations.table.forget(replica_hash)
--- a/test/helper.py
+++ b/test/helper.py
@@ -111,6 +111,7 @@
         self,
         replica_directory: directory.Directory,
         get_leaving_share: Callable[[str], float | None] = lambda _: None,
+        get_slowness: Callable[[str], float | None] = lambda _: None,
     ):
         self.loads = loads.Loads()
         self.conditions = health.ReplicaHealth()
@@ -127,6 +128,7 @@
             zone="a",
             limits=replica_limits.ReplicaLimits(replica_directory.get_by_hash),
             is_evacuated=replica_directory.evacuations.includes,
+            get_slowness=lambda replica_id: get_slowness(replica_id) or 1.0,
             get_leaving_share=get_leaving_share,
         )
 
