--- a/agatedock/domain/configuration.py
+++ b/agatedock/domain/configuration.py
@@ -166,3 +166,9 @@
 
     def find_account(self, account_key: str) -> Account | None:
         """Returns the account with an API key, None if the key is unknown."""
+
+    def find_named_route(self, name: str) -> Route | None:
+        """Returns a route by its name, None if there is none."""
+
+    def find_named_account(self, name: str) -> Account | None:
+        """Returns an account by its name, None if there is none."""
--- a/agatedock/domain/hosts.py
+++ b/agatedock/domain/hosts.py
@@ -57,3 +57,18 @@
         if self.accounts is None:
             return None
         return self.accounts.get(account_key)
+
+    def find_named_route(self, name: str) -> configuration.Route | None:
+        """Returns a route by its name, None if there is none."""
+        for by_prefix in self.routes.values():
+            for route in by_prefix.values():
+                if route.name == name:
+                    return route
+        return None
+
+    def find_named_account(self, name: str) -> configuration.Account | None:
+        """Returns an account by its name, None if there is none."""
+        for account in (self.accounts or {}).values():
+            if account.name == name:
+                return account
+        return None
--- a/agatedock/native/admin.py
+++ b/agatedock/native/admin.py
@@ -15,6 +15,7 @@
 from agatedock.native import recent_requests
 from agatedock.peers import relay
 from agatedock.serving import dump
+from agatedock.serving import explanation_endpoint
 from agatedock.serving import router as routers
 
 CONFIG_PATH = "/config"
@@ -46,6 +47,9 @@
             return web.Response(
                 text=self.dump(), content_type="application/json"
             )
+        if path == explanation_endpoint.PATH:
+            shared = self.router.shared
+            return explanation_endpoint.serve(shared, raw.query, shared.now())
         if path.startswith(EXPLAIN_PREFIX):
             return _make_json_response(
                 self._recent_requests.get(path.removeprefix(EXPLAIN_PREFIX))
--- a/agatedock/native/native_configuration.py
+++ b/agatedock/native/native_configuration.py
@@ -133,3 +133,27 @@
             return None
         weight = self.resolver.get("account_weight", account=account_key)
         return configuration.Account(account_key, weight=weight)
+
+    def find_named_route(self, name: str) -> configuration.Route | None:
+        """Returns the route to a model or service; None for an unknown one."""
+        work = next(iter(self.document.works), "")
+        return self.find_route(
+            requests.Request(
+                request_id="",
+                method="POST",
+                host="",
+                target="/",
+                headers=(),
+                account_key="",
+                client_timeout_s=None,
+                prompt=(),
+                last_event_id=None,
+                arrived_at=0.0,
+                service=name,
+                work=work,
+            )
+        )
+
+    def find_named_account(self, name: str) -> configuration.Account | None:
+        """Returns an account by name, None if it is not listed."""
+        return self.find_account(name)
--- a/agatedock/ui/common.py
+++ b/agatedock/ui/common.py
@@ -24,6 +24,7 @@
 EXIT_UNAVAILABLE = 4
 EXIT_UNKNOWN = 5
 CALL_TIMEOUT_S = 5.0
+_BAD_REQUEST = 400
 
 T = TypeVar("T")
 
@@ -40,6 +41,10 @@
         super().__init__(message)
 
 
+class RejectedError(errors.Unavailable):
+    """A router did not understand a call; the message says why."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class CommonOptions:
     """Options of all operator commands."""
@@ -102,6 +107,7 @@
 
     Raises:
       errors.Unavailable: The server did not respond with status 200.
+      RejectedError: It responded with status 400.
     """
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
     method = "GET" if data is None else "POST"
@@ -110,6 +116,8 @@
             aiohttp.ClientSession(timeout=timeout) as session,
             session.request(method, url, data=data) as response,
         ):
+            if response.status == _BAD_REQUEST:
+                raise RejectedError(await response.text())
             if response.status != 200:
                 raise errors.Unavailable(f"{url}: status {response.status}")
             return await response.json()
--- a/agatedock/ui/inspection.py
+++ b/agatedock/ui/inspection.py
@@ -8,12 +8,17 @@
 import pathlib
 from typing import Annotated
 from typing import Any
+import urllib.parse
 
 import cappa
 
 from agatedock import diagnosis
+from agatedock import errors
 from agatedock.ui import common
 
+# Exit code of an explanation if the router does not reply.
+EXIT_UNREACHABLE = 3
+
 
 def show_dump(command: Dump) -> None:
     """Prints the state of one router."""
@@ -36,7 +41,17 @@
 
 
 def explain_request(command: Explain) -> None:
-    """Prints how the routers handled a request, and why."""
+    """Prints how the routers handled a request, and why.
+
+    With a route, prints where a request on it would go now.
+    """
+    if command.route:
+        explain_placement(command)
+        return
+    if not command.request_id:
+        raise common.ExitError(
+            common.EXIT_USAGE, "the ID of a request or --route is needed"
+        )
     if command.logs:
         lines = diagnosis.find_related_lines(
             diagnosis.read_lines(command.logs), command.request_id
@@ -66,6 +81,45 @@
         print(f"{line.router}: {diagnosis.explain_outcome(line)}")
 
 
+def explain_placement(command: Explain) -> None:
+    """Prints where a request would go now, and why, without sending it."""
+    if not command.router:
+        raise common.ExitError(
+            common.EXIT_USAGE, "--router or AGATEDOCK_ROUTER is needed"
+        )
+    query = urllib.parse.urlencode(
+        {
+            "route": command.route,
+            "account": command.account,
+            "prefix": ",".join(command.prefix),
+            "domain": command.from_domain,
+        }
+    )
+    url = f"{command.router.rstrip('/')}/placement?{query}"
+    try:
+        found = common.run_coroutine(common.fetch_url(url))
+    except common.RejectedError as error:
+        raise common.ExitError(common.EXIT_USAGE, str(error)) from None
+    except errors.Unavailable as error:
+        raise common.ExitError(EXIT_UNREACHABLE, f"no reply: {error}") from None
+    if command.as_json:
+        print(json.dumps(found, indent=2))
+        return
+    for key, value in found.items():
+        if key != "candidates":
+            print(f"{key}: {value}")
+    columns = [
+        "name",
+        "failure_domain",
+        "verdict",
+        "running",
+        "max_running",
+        "slowness",
+        "crosses",
+    ]
+    common.print_rows(command, found["candidates"], columns)
+
+
 async def _collect_lines(command: Explain) -> list[diagnosis.LogLine]:
     """Returns the records of a request from all live routers, by time."""
     dump = await common.fetch_from_router(command, "/dump")
@@ -98,7 +152,31 @@
 class Explain(common.CommonOptions):
     """Arguments of `explain`."""
 
-    request_id: Annotated[str, cappa.Arg(help="ID of the request.")]
+    request_id: Annotated[str, cappa.Arg(help="ID of the request.")] = ""
+    route: Annotated[
+        str,
+        cappa.Arg(
+            long="--route",
+            help="Explain where a request on this route would go now.",
+        ),
+    ] = ""
+    account: Annotated[
+        str, cappa.Arg(long="--account", help="Client account.")
+    ] = ""
+    prefix: Annotated[
+        list[str],
+        cappa.Arg(
+            long="--prefix",
+            help="Prompt part ID:TOKENS; may be given more than once.",
+        ),
+    ] = dataclasses.field(default_factory=list)
+    from_domain: Annotated[
+        str,
+        cappa.Arg(
+            long="--from-domain",
+            help="Failure domain that the request comes from.",
+        ),
+    ] = ""
     logs: Annotated[
         list[pathlib.Path],
         cappa.Arg(
