Cut no request at the timeout of a head whose body came early (LOST)

Cause: between the library taking a request from its queue and the first step of the request's task, a body's bytes met a connection that seemed to wait for a head, and started that timer; the condition is as old as the timer, reading in blocks made the moment likely. Change: a connection counts its unanswered requests itself.

--- a/agatedock/serving/client_connections.py
+++ b/agatedock/serving/client_connections.py
@@ -112,6 +112,10 @@
         """Returns whether a connection waits for another request."""
         return connection in self._idle
 
+    def list_open(self) -> list[web.RequestHandler]:
+        """Returns all open connections."""
+        return list(self._open)
+
     def list_idle(self) -> list[web.RequestHandler]:
         """Returns the connections that wait for another request."""
         return list(self._idle)
@@ -162,6 +166,7 @@
         "_opened_at",
         "_received_bytes",
         "_timer",
+        "_unanswered",
         "progress_at",
         "reads_body",
         "size_bytes",
@@ -181,6 +186,9 @@
         # Whether a part of the next request head has arrived.
         self._head_started = False
         self._had_request = False
+        # Requests whose response is not complete. The library knows of one only
+        # once its task has begun, and its body may arrive before.
+        self._unanswered = 0
         # Body of the last request, and the bytes received since its head.
         self._body: aiohttp.StreamReader | None = None
         self._received_bytes = 0
@@ -193,7 +201,7 @@
         """Returns what the connection waits for."""
         if self.reads_body:
             return client_limits.Phase.ARRIVING
-        if self._messages or self._current_request is not None:
+        if self._unanswered:
             return client_limits.Phase.SERVED
         if self._had_request and not self.size_bytes:
             return client_limits.Phase.IDLE
@@ -213,8 +221,9 @@
         count_before = self._request_count
         was_in_body = self._reads_rest_of_body()
         super().data_received(data)
-        if self._request_count != count_before:
-            self._begin_request()
+        request_count = self._request_count - count_before
+        if request_count:
+            self._begin_requests(request_count)
         elif was_in_body:
             self._count_body(len(data))
         else:
@@ -227,19 +236,16 @@
 
     def _update_timer(self) -> None:
         """Starts the timer of a head, or stops it if a request was read."""
-        if (
-            self._messages
-            or self._current_request is not None
-            or self._reads_rest_of_body()
-        ):
+        if self._unanswered or self._reads_rest_of_body():
             self._stop_timer()
         elif self._timer is None or not self._head_started:
             self._start_head_timer(self._limits.header_timeout_s)
         self._head_started = True
 
-    def _begin_request(self) -> None:
-        """Records that a head is complete."""
+    def _begin_requests(self, count: int) -> None:
+        """Records that the heads of some requests are complete."""
         self._had_request = True
+        self._unanswered += count
         self._received_bytes = 0
         self._clients.resize_head(self, 0)
         self._body = self._messages[-1][1] if self._messages else None
@@ -285,8 +291,9 @@
 
     def handle_response(self) -> None:
         """Records that a request was answered."""
+        self._unanswered = max(0, self._unanswered - 1)
         self._clients.set_idle(
-            self, self.transport is not None and not self._messages
+            self, self.transport is not None and not self._unanswered
         )
 
     def cut(self, reason: Reason, response: bytes = b"") -> None:
@@ -303,12 +310,8 @@
         size_bytes = max(self._received_bytes, self.size_bytes)
         self._clients.record_cut(reason, size_bytes, elapsed_s)
         self._clients.remove(self)
-        is_answered = not self._messages and self._current_request is None
-        if (
-            response
-            and is_answered
-            and isinstance(transport, asyncio.Transport)
-        ):
+        is_writable = isinstance(transport, asyncio.Transport)
+        if response and is_writable and not self._unanswered:
             transport.write(response)
             self.force_close()
             return
@@ -329,7 +332,7 @@
     def _handle_timeout(self) -> None:
         """Closes the connection; sends a 408 if a head was incomplete."""
         transport = self.transport
-        if transport is None:
+        if transport is None or self._unanswered:
             return
         if self._head_started and isinstance(transport, asyncio.Transport):
             transport.write(_HEAD_TIMEOUT_RESPONSE)
--- a/test/test_client_limits.py
+++ b/test/test_client_limits.py
@@ -98,6 +98,31 @@
         self.assertIsNone(self.close(served))
 
 
+class TimerTest(platform_helper.RouterCase):
+    """Requests that take longer than a head may."""
+
+    async def test_body_that_arrives_before_its_handler_begins(self):
+        """Guards against a request cut at the timeout of a head (LOST)."""
+        self.replicas["shop-1"].work_s = self.replicas["shop-2"].work_s = 1.5
+        host, _, port = self.config.listen.frontend.rpartition(":")
+        known = set(self.router.core.frontend.clients.list_open())
+        reader, writer = await asyncio.open_connection(host, int(port))
+        while not (
+            opened := set(self.router.core.frontend.clients.list_open()) - known
+        ):
+            await asyncio.sleep(0.01)
+        (connection,) = opened
+        lines = "X-Agatedock-Attempt-Id: r\r\nContent-Length: 3\r\n\r\n"
+        connection.data_received(test_crowds.format_head(lines=lines))
+        # The library has taken the request, but its task has not begun.
+        await asyncio.sleep(0)
+        connection.data_received(b"abc")
+        async with asyncio.timeout(5):
+            answer = await reader.readuntil(b"\r\n")
+        writer.close()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+
+
 class RefusalTest(platform_helper.RouterCase):
     """Bodies that go on after their request was refused."""
 
