Let requests leave a failure domain for a less busy replica

Cause: in a pool of few replicas the preference for the domain often left one replica to choose from, so the better of two was lost. Change: two replicas of the domain are compared with one elsewhere; ties stay.

--- a/agatedock/decisions/placement.py
+++ b/agatedock/decisions/placement.py
@@ -370,8 +370,9 @@
 ) -> PreferenceList:
     """Prefers the less busy of two replicas, then this failure domain.
 
-    If failure domains are considered, a request goes to another domain than
-    this one only if it belongs to the share that leaves, or finds no capacity.
+    If failure domains are considered, two replicas of this domain (or of the
+    others, for the share that leaves) are compared with one of the others, and
+    a request leaves only for a less busy one.
     """
 
     def sort_key(item: replicas.Replica) -> tuple[float, bool]:
@@ -379,22 +380,21 @@
             view.loads.count_total(item.replica_id),
             view.get_slowness(item.replica_id),
         )
-        return work, item.zone != view.zone
+        return work, (item.zone == view.zone) is is_leaving
 
     mean = load_bounds.compute_mean(
         task.service.name, task.usable, task.limited_ids, view
     )
     key = task.request.request_id
     share = view.get_leaving_share(task.service.name)
+    is_leaving = share is not None and crossing.leaves(key, share)
     first_choice = candidates
     others: list[replicas.Replica] = []
     if share is not None:
-        first_choice, others = crossing.split(
-            candidates, view.zone, crossing.leaves(key, share)
-        )
-    picked = sorted(_select(key, first_choice, LEAST_CANDIDATES), key=sort_key)
+        first_choice, others = crossing.split(candidates, view.zone, is_leaving)
+    picked = _select(key, first_choice, LEAST_CANDIDATES)
     return PreferenceList(
-        replicas=picked + _select(key, others, 1),
+        replicas=sorted(picked + _select(key, others, 1), key=sort_key),
         max_running=math.floor(mean) + 1,
         mean=mean,
         reason="least",
--- a/test/test_crossing.py
+++ b/test/test_crossing.py
@@ -105,11 +105,21 @@
         )
         self.now = NOW
 
-    def place(self, count: int) -> list[placement.PreferenceList]:
-        """Returns the preferences of requests at a router of domain a."""
+    def place(
+        self, count: int, running: dict[str, int] | None = None
+    ) -> list[placement.PreferenceList]:
+        """Returns the preferences of requests at a router of domain a.
+
+        Args:
+          count: Number of requests.
+          running: Requests at each replica; none at those without an entry.
+        """
         local = helper.LocalView(
             self.directory, get_leaving_share=self.crossings.get_share
         )
+        for replica_id, requests in (running or {}).items():
+            for _ in range(requests):
+                local.loads.begin(replica_id)
         service = configuration.Service("llm", configuration.LoadBound(2, 3))
         usable = self.directory.list_usable("llm")
         preferences = []
@@ -131,6 +141,18 @@
             zones = [item.zone for item in preferences.replicas]
             self.assertEqual(zones, ["a", "a", "b"])
 
+    def test_requests_leave_for_a_less_busy_replica(self):
+        """A domain with one replica, which is busier than the others."""
+        for number in (2, 4, 6):
+            moved = helper.make_replica(number, zone="b", sequence=2)
+            self.directory.apply_changes([moved], [], NOW, NOW)
+        for running, zone in ((0, "a"), (1, "b")):
+            firsts = {
+                item.replicas[0].zone
+                for item in self.place(50, {"replica-0": running})
+            }
+            self.assertEqual(firsts, {zone})
+
     def test_surplus_of_the_domain_leaves(self):
         """Demand of this router and of others in its domain counts."""
         self.own_running = 16
