--- a/agatedock/decisions/placement.py
+++ b/agatedock/decisions/placement.py
@@ -3,10 +3,9 @@
 There are two policies. `prefix` is for chats with several turns: requests that
 share a prompt part go to the same replica, whichever router they enter by, as
 long as that replica does not run many more requests than the mean. `least` is
-for short independent requests: the less loaded of two replicas gets them. A
+for short independent requests: the less busy of a few replicas gets them. A
 policy returns the order in which replicas are tried and how many requests each
-of them may run. Whether a replica has capacity is decided by the owner of its
-count, which grants or denies reservations.
+may run. The owner of a replica's count decides whether it has capacity.
 """
 
 from __future__ import annotations
