Give up the turn of a connection only if more of it waits to be read

Cause: on a tenth of a core each head takes longer than the 1 ms of a turn, so each request paused and resumed its connection. Change: only after a full block.

--- a/agatedock/serving/client_connections.py
+++ b/agatedock/serving/client_connections.py
@@ -231,7 +231,9 @@
         if data:
             self.progress_at = began_at
             self._update_timer()
-        if clock.read_steady_s() - began_at > TURN_MAX_S:
+        # After a block that is not full nothing more waits to be read.
+        is_full = len(data) >= BLOCK_BYTES
+        if is_full and clock.read_steady_s() - began_at > TURN_MAX_S:
             self._yield_turn()
 
     def _update_timer(self) -> None:
