--- a/agatedock/peers/run_exchange.py
+++ b/agatedock/peers/run_exchange.py
@@ -91,8 +91,11 @@
 
     def run_round(self, now: float) -> None:
         """Sends the runs with rounds left to one peer."""
+        told = self._news.take_told()
+        if not told and not self._rounds_left:
+            return
         names = [peer.name for peer in self._peers.list_peers()]
-        for replica in self._news.take_told():
+        for replica in told:
             self._start(crash_reports.hash_run(replica), len(names), now)
         run_hashes = list(self._rounds_left)[:RUNS_PER_MESSAGE_MAX]
         if (
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -15,6 +15,7 @@
     """Decodes replicas with the configuration's version as their slots."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._version = 0
 
     def decode_configuration(self, item):
