review: a release sends a part that crashes replicas to a new version

Cause: a quarantined part may go to replicas of another version until one of them has crashed; nothing limits how many requests try it meanwhile. Done: a script with a release of one replica while such requests come.

--- a/review/trial.py
+++ b/review/trial.py
@@ -162,6 +162,7 @@
         self.sequence = 1
         self.state = "ready"
         self.leaving = False
+        self.version = "v1"
         self.work: Work | None = None
         self.arrivals: list[Arrival] = []
         self.address = ""
@@ -209,7 +210,7 @@
                 "Service": self.service,
                 "Address": self.address,
                 "Zone": self.zone,
-                "Version": "v1",
+                "Version": self.version,
                 "Slots": 6,
                 "State": self.state,
                 "ColdRemainingMs": 0,
@@ -545,7 +546,8 @@
     async def _read_chunks(self) -> bytes:
         body = b""
         while True:
-            size = int((await self.reader.readline()).split(b";")[0], 16)
+            line = await self.reader.readuntil(b"\n")
+            size = int(line.split(b";")[0], 16)
             chunk = await self.reader.readexactly(size + 2)
             if not size:
                 return body
