--- a/review/trial.py
+++ b/review/trial.py
@@ -65,6 +65,15 @@
 }
 
 
+# Ports of a router: for clients, readiness probes, peers and metrics. The last
+# is in the `run` line of the deploy file.
+FRONTEND_PORT = 8227
+READY_PORT = 8220
+PEER_PORT = 7340
+METRICS_PORT = 9464
+ADDRESS_TRIES = 50
+
+
 class CannotRunError(Exception):
     """The case could not be played, so it says nothing about the rule."""
 
@@ -82,6 +91,37 @@
         self.lines.append(f"{elapsed_s:8.3f} {text}")
 
 
+def find_ip() -> str:
+    """Returns a loopback address on which the ports of a router are free.
+
+    Raises:
+      CannotRunError: None was found.
+    """
+    for _ in range(ADDRESS_TRIES):
+        ip = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}.1"
+        if all(_is_free(ip, port, kind) for port, kind in _SOCKETS):
+            return ip
+    raise CannotRunError("no free loopback address")
+
+
+_SOCKETS = (
+    (FRONTEND_PORT, socket.SOCK_STREAM),
+    (READY_PORT, socket.SOCK_STREAM),
+    (PEER_PORT, socket.SOCK_STREAM),
+    (PEER_PORT, socket.SOCK_DGRAM),
+    (METRICS_PORT, socket.SOCK_STREAM),
+)
+
+
+def _is_free(ip: str, port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(type=kind) as probe:
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
 def make_route(prefix: str, kind: str, service: str, **fields) -> dict:
     """Returns a route as the operator writes it."""
     return {
@@ -267,8 +307,8 @@
     ) -> None:
         self.name = name
         self.ip = ip
-        self.frontend = (ip, 8227)
-        self.ready = (ip, 8220)
+        self.frontend = (ip, FRONTEND_PORT)
+        self.ready = (ip, READY_PORT)
         self._folder = folder
         self._settings_path = folder / f"{name}.toml"
         self._log_path = folder / f"{name}.log"
@@ -287,7 +327,7 @@
 Ip = "{self.ip}"
 Zone = "a"
 Region = "r"
-InternalPorts = [7340, 7355]
+InternalPorts = [{PEER_PORT}, {PEER_PORT + 15}]
 Seeds = []
 InitialBootstrap = true
 HeartbeatMs = 1200
@@ -296,8 +336,8 @@
 [Zones]
 a = "r"
 [Listen]
-Frontend = "{self.ip}:8227"
-Ready = "{self.ip}:8220"
+Frontend = "{self.ip}:{FRONTEND_PORT}"
+Ready = "{self.ip}:{READY_PORT}"
 ControlPlane = "{self.ip}:8229"
 [Limits]
 CpuShare = 0.537
@@ -399,7 +439,6 @@
         self.replicas: dict[str, Replica] = {}
         self.routers: list[Router] = []
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        self._network = f"127.{random.randint(16, 250)}.{os.getpid() % 250 + 1}"
 
     async def __aenter__(self) -> Deployment:
         await self.store.start()
@@ -433,8 +472,7 @@
 
     async def add_router(self, name: str = "edge-a-1") -> Router:
         """Starts a router and waits until it is ready."""
-        ip = f"{self._network}.{len(self.routers) + 1}"
-        router = Router(name, ip, self.store.address, self._folder)
+        router = Router(name, find_ip(), self.store.address, self._folder)
         self.routers.append(router)
         await router.start()
         await router.wait_ready()
