Take no answer that is outside the grammar of HTTP/1.1

Seen: a replica's answer with status 000, with a control character in a field's value or in the reason, with a folded line, a line feed alone, an empty line before it, another protocol or version (HTTP/2.0, RTSP/1.0), an unasked 101, framed interim heads, any transfer coding, a malformed chunk line or trailer reached the client as a success, plain and as a stream; a status of 600 as an error of the replica. The store and peers were read the same way.

Cause: the HTTP library reads responses leniently (header fields, line ends, spaces behind chunk sizes), checks neither status nor version nor transfer coding, and drops interim heads and trailers unseen.

Change: response_syntax.ResponseChecker checks the bytes of each response before the library parses them: status line, every field line of every head, framing, chunk lines and trailers, by RFC 9110 and 9112. Each connection of connections.make_session has one. A response that fails is no answer: its connection is closed, a request that may not be repeated is not sent again. Bytes behind the end of a response close the connection, as do bytes before a request.

Found beside it, in the stand-in: it asserted a class of transports that uvloop's do not have, so it could not answer on that loop.

Not read, though within the grammar: blanks around the ';' and '=' of a chunk extension; the library refuses them, and the client gets 502.

--- a/agatedock/connections.py
+++ b/agatedock/connections.py
@@ -1,9 +1,10 @@
 """Connections of the HTTP clients, with limits on what peers may send.
 
-The library parses all that a connection delivers at once, and waits for a
-response as long as informational responses arrive. These connections read in
-small blocks, pause while their peer has used its share of the event loop's
-time, and close if a response does not begin.
+The library parses all that a connection delivers at once, waits for a response
+as long as informational responses arrive, and reads them leniently. These
+connections read in small blocks, pause while their peer has used its share of
+the event loop's time, close if a response does not begin, and take none that is
+not within the grammar.
 """
 
 from __future__ import annotations
@@ -17,8 +18,10 @@
 from aiohttp import base_protocol
 from aiohttp import client_proto
 from aiohttp import helpers
+from aiohttp import http
 
 from agatedock import clock
+from agatedock import response_syntax
 from agatedock.decisions import pacing
 
 # Bytes that are parsed at once.
@@ -120,8 +123,9 @@
     """Connection that treats a reset as an incomplete response.
 
     The library would accept any end of the connection, also a reset, as the end
-    of a body without a length. A response that no request waits for closes the
-    connection, as the next request would take it for its own.
+    of a body without a length. Bytes that no request waits for close the
+    connection, as the next request would take them for its response. So does a
+    response that is not within the grammar.
 
     Attributes:
       connected_at: When it was opened, in seconds.
@@ -136,7 +140,11 @@
         self._informational_count = 0
         # Bytes received since the request.
         self._received_bytes = 0
-        self._give_up_error: TooManyHeadsError | None = None
+        self._give_up_error: Exception | None = None
+        # None before the first request.
+        self._checker: response_syntax.ResponseChecker | None = None
+        # Heads that the library has read since the request.
+        self._read_heads = 0
         self.connected_at = 0.0
         self.peer: Peer | None = None
 
@@ -148,18 +156,25 @@
         self.peer = self._peers.add(self._address, self)
         transport.set_protocol(BlockReader(self, _block))
 
-    def set_response_params(self, **options: Any) -> None:
+    def set_response_params(
+        self, *, skip_payload: bool = False, **options: Any
+    ) -> None:
         """Records that a request waits for a response."""
         self._is_awaited = True
         self._informational_count = 0
         self._received_bytes = 0
-        super().set_response_params(**options)
+        self._read_heads = 0
+        self._checker = response_syntax.ResponseChecker(not skip_payload)
+        super().set_response_params(skip_payload=skip_payload, **options)
 
     def data_received(self, data: bytes) -> None:
         """Parses a block, or what is left of one after a pause."""
         began_at = time.monotonic()
         self._received_bytes += len(data)
+        if not self._is_sound(data):
+            return
         super().data_received(data)
+        self._close_if_exceeded()
         if self.peer is not None:
             now = time.monotonic()
             self.peer.record_work(now - began_at, now)
@@ -169,6 +184,45 @@
         if self._is_awaited and self._received_bytes > INFORMATIONAL_MAX_BYTES:
             self._give_up()
 
+    def _is_sound(self, data: bytes) -> bool:
+        """Returns whether a block may be parsed; closes the connection if not.
+
+        A block is empty if the library goes on with what it kept.
+        """
+        if self._checker is None:
+            # No response precedes its request.
+            self.force_close()
+            self.close()
+            return False
+        try:
+            self._checker.feed(data)
+        except response_syntax.InvalidResponseError as error:
+            self._end_invalid(error)
+            return False
+        return True
+
+    def _close_if_exceeded(self) -> None:
+        """Closes the connection if there are bytes that no request awaits."""
+        if self._checker is None or not self._checker.is_exceeded:
+            return
+        self.force_close()
+        # What the library has kept of the body is read after the end.
+        if self._payload is None or self._payload.is_eof():
+            self.close()
+
+    def _end_invalid(self, error: response_syntax.InvalidResponseError) -> None:
+        """Closes the connection, and ends a response that has begun."""
+        payload = self._payload
+        is_awaited = self._is_awaited
+        self._is_awaited = False
+        self.force_close()
+        self.close()
+        if is_awaited:
+            self._give_up_error = http.HttpProcessingError(message=str(error))
+            self.set_exception(self._give_up_error)
+        elif payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Passes on a response head if it is awaited."""
         if self._give_up_error is not None:
@@ -177,6 +231,13 @@
             self.force_close()
             self.close()
             return
+        self._read_heads += 1
+        assert self._checker is not None
+        if self._read_heads > self._checker.head_count:
+            self._end_invalid(
+                response_syntax.InvalidResponseError("invalid end of a head")
+            )
+            return
         # Informational responses precede the one that is awaited.
         if data[0].code < _FIRST_FINAL_STATUS:
             self._informational_count += 1
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -175,7 +175,7 @@
             self.born,
         )
         self.received_requests.append(received)
-        if isinstance(raw.transport, asyncio.Transport):
+        if raw.transport is not None:
             self._connections.add(raw.transport)
         expected = raw.headers.get("X-Agatedock-Expect-Replica")
         if expected not in (None, self.name):
@@ -350,7 +350,7 @@
     async def _write_and_close(
         self, raw: web.BaseRequest, data: bytes
     ) -> web.Response:
-        assert isinstance(raw.transport, asyncio.Transport)
+        assert raw.transport is not None
         raw.transport.write(data)
         await asyncio.sleep(0.05)
         raw.transport.close()
--- /dev/null
+++ b/test/test_malformed_responses.py
@@ -0,0 +1,176 @@
+"""Responses that break the grammar of HTTP/1.1 are no answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+import unittest
+
+import aiohttp
+import msgspec
+
+from agatedock import errors
+from agatedock.peers import relay
+from agatedock.peers import snapshots
+from agatedock_platform import store as store_client
+from test import malformed_responses
+from test import platform_helper
+
+EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 6))
+
+
+def make_content(
+    content_type: bytes, body: bytes
+) -> malformed_responses.Content:
+    """Returns what a replica answers the request `r1`."""
+    lines = (
+        b"X-Agatedock-Attempt-Id: r1\r\n"
+        b"X-Agatedock-Response-Seal: seal\r\n"
+        b"Content-Type: " + content_type
+    )
+    return malformed_responses.Content(lines, body)
+
+
+PLAIN = make_content(b"text/plain", b"run by shop-1")
+STREAM = make_content(b"text/event-stream", EVENTS)
+
+
+class ReplicaTest(platform_helper.RouterCase):
+    """What clients get if all replicas answer so."""
+
+    bounds = {"slack": 100_000}
+
+    async def call_complete(self, path: str, answer: bytes) -> int:
+        """Returns the status that a client gets, or 0 for a broken stream."""
+        for item in self.replicas.values():
+            item.faults.cut_head = answer
+        for replica_id in self.replicas:
+            self.router.core.shared.health.record_result(
+                replica_id, True, self.router.core.shared.now()
+            )
+        try:
+            status, _, body = await self.call(path)
+        except aiohttp.ClientPayloadError:
+            return 0
+        expected = STREAM if path in STREAM_PATHS else PLAIN
+        if status == 200:
+            self.assertEqual(body, expected.body, answer)
+        return status
+
+    async def assert_failed(self, path: str, answers: Iterable[bytes]) -> None:
+        """Asserts that no client takes one of the answers for a success."""
+        for answer in answers:
+            with self.subTest(answer=answer):
+                status = await self.call_complete(path, answer)
+                self.assertIn(status, (0, 502))
+
+    async def assert_passed_on(
+        self, path: str, content: malformed_responses.Content
+    ) -> None:
+        for answer in malformed_responses.list_sound(content):
+            with self.subTest(answer=answer):
+                self.assertEqual(await self.call_complete(path, answer), 200)
+
+    async def test_sound_answers_are_passed_on(self):
+        await self.assert_passed_on(platform_helper.ORDER, PLAIN)
+        await self.assert_passed_on(platform_helper.DRAFT, STREAM)
+
+    async def test_plain_answers_to_requests_that_run_once(self):
+        answers = list(malformed_responses.list_invalid(PLAIN))
+        await self.assert_failed(platform_helper.ORDER, answers)
+        self.assertEqual(len(self.list_runs()), len(answers))
+
+    async def test_plain_answers_to_requests_that_are_repeated(self):
+        answers = malformed_responses.list_invalid(PLAIN)
+        await self.assert_failed(platform_helper.LOOKUP, answers)
+
+    async def test_streams(self):
+        answers = malformed_responses.list_invalid(STREAM)
+        await self.assert_failed(platform_helper.DRAFT, answers)
+
+    async def test_streams_that_are_resumed(self):
+        answers = malformed_responses.list_invalid(STREAM)
+        await self.assert_failed(platform_helper.CHAT, answers)
+
+
+STREAM_PATHS = (platform_helper.CHAT, platform_helper.DRAFT)
+
+
+class AnswerCase(unittest.IsolatedAsyncioTestCase):
+    """A server that answers each request with the same bytes."""
+
+    async def asyncSetUp(self) -> None:
+        self.answer = b""
+        self.server = await asyncio.start_server(
+            self._respond, "127.0.0.1", platform_helper.find_port()
+        )
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def asyncTearDown(self) -> None:
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def _respond(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.answer)
+            await writer.drain()
+            # What is not read yet would reset the connection.
+            async with asyncio.timeout(0.01):
+                await reader.read()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+class ReaderTest(AnswerCase):
+    """Everything else that reads answers takes none of them."""
+
+    async def check(self, read, content: malformed_responses.Content) -> None:
+        """Asserts that sound answers are read and others are not."""
+        for self.answer in malformed_responses.list_sound(content):
+            with self.subTest(sound=self.answer):
+                await read()
+        for self.answer in malformed_responses.list_invalid(content):
+            with (
+                self.subTest(invalid=self.answer),
+                self.assertRaises(errors.Unavailable),
+            ):
+                await read()
+
+    async def test_store(self):
+        store = store_client.StoreClient(self.address)
+        self.addAsyncCleanup(store.close)
+        content = malformed_responses.Content(
+            b"Store-Era: 1", b'{"Entries": [], "At": 7, "Truncated": false}'
+        )
+        await self.check(lambda: store.fetch_snapshot(1.0), content)
+
+    async def test_writes_to_the_store(self):
+        async def write() -> None:
+            # On a connection of its own: the last one is just being closed.
+            store = store_client.StoreClient(self.address)
+            try:
+                await store.write("a", b"b", 7)
+            finally:
+                await store.close()
+
+        content = malformed_responses.Content(b"Store-Era: 1", b'{"Ok": true}')
+        await self.check(write, content)
+
+    async def test_peers(self):
+        peer = relay.ListingClient()
+        self.addAsyncCleanup(peer.close)
+        position = relay.ListingRequest(snapshots.EMPTY_POSITION, 0)
+        listing = snapshots.Listing()
+        delta = listing.make_delta(snapshots.EMPTY_POSITION, 0.0)
+        content = malformed_responses.Content(
+            relay.AGE_HEADER.encode() + b": 0.5", msgspec.msgpack.encode(delta)
+        )
+        await self.check(
+            lambda: peer.fetch_delta(self.address, position), content
+        )
