Read the platform's other services as strictly as replicas

Seen: the key-value service, the VM list, engines' states and orders, and routers asked by operators were read with the library's plain client, so malformed answers were taken; a version or a fencing token that is no number ended the caller with a ValueError; a listing with status 500 or 404 was applied; bodies of a rejected order and of the operators' calls had no limit.

Cause: four clients did not come from connections.make_session, and values were converted unchecked.

Change: all clients come from connections.make_session; versions, keys and tokens that cannot be read are Unavailable, as any other failure; a listing needs status 200; every body that is read has a limit.

--- a/agatedock/orders/steward.py
+++ b/agatedock/orders/steward.py
@@ -29,6 +29,9 @@
 MINUTE_S = 60.0
 # Largest state of an engine that is read.
 STATE_MAX_BYTES = 64 * 1024
+# Digits of the largest fencing token that is read.
+FENCE_DIGITS_MAX = 18
+_CONFLICT = 409
 
 _log = logging.getLogger(__name__)
 
@@ -218,7 +221,10 @@
         self, engines: dict[str, external.Vm]
     ) -> dict[str, planning.EngineState]:
         results = await asyncio.gather(
-            *(self._read_state(engine) for engine in engines.values())
+            *(
+                read_state(self._client, engine, self._timeout())
+                for engine in engines.values()
+            )
         )
         return {
             name: state
@@ -226,21 +232,6 @@
             if state is not None
         }
 
-    async def _read_state(
-        self, engine: external.Vm
-    ) -> planning.EngineState | None:
-        url = f"http://{engine.host}:{engine.port}/state"
-        try:
-            async with self._client.get(
-                url, timeout=self._timeout()
-            ) as response:
-                body = await body_buffers.read(
-                    response.content, STATE_MAX_BYTES
-                )
-                return planning.EngineState.model_validate_json(body)
-        except (aiohttp.ClientError, TimeoutError, pydantic.ValidationError):
-            return None
-
     def _timeout(self) -> aiohttp.ClientTimeout:
         return aiohttp.ClientTimeout(total=self._config.order_timeout_ms / 1000)
 
@@ -271,10 +262,10 @@
             async with self._client.post(
                 url, json=body, timeout=self._timeout()
             ) as response:
-                if response.status == 409:
-                    raise FenceRejected(int(await response.text()))
+                if response.status == _CONFLICT:
+                    raise FenceRejected(await _read_fence(response))
                 outcome = f"status {response.status}"
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             # The engine may have run the order; its next state shows it.
             outcome = repr(error)
         logs.event(
@@ -286,3 +277,28 @@
             fence=held_lease.record.fence,
             outcome=outcome,
         )
+
+
+async def read_state(
+    client: aiohttp.ClientSession,
+    engine: external.Vm,
+    timeout: aiohttp.ClientTimeout,
+) -> planning.EngineState | None:
+    """Returns the state that an engine reports; None if it cannot be read."""
+    url = f"http://{engine.host}:{engine.port}/state"
+    try:
+        async with client.get(url, timeout=timeout) as response:
+            body = await body_buffers.read(response.content, STATE_MAX_BYTES)
+            return planning.EngineState.model_validate_json(body)
+    except (aiohttp.ClientError, TimeoutError, pydantic.ValidationError):
+        return None
+
+
+async def _read_fence(response: aiohttp.ClientResponse) -> int:
+    """Returns the fencing token in a rejection.
+
+    Raises:
+      aiohttp.ClientError: The rejection is incomplete or too long.
+      ValueError: It is not a number.
+    """
+    return int(await body_buffers.read(response.content, FENCE_DIGITS_MAX))
--- a/agatedock/peers/relay.py
+++ b/agatedock/peers/relay.py
@@ -39,6 +39,8 @@
 # the age in the body.
 AGE_HEADER = "Listing-Age-S"
 
+_OK = 200
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(snapshots.Delta)
 
@@ -215,6 +217,10 @@
         url = f"http://{address}{LISTING_PATH}"
         try:
             async with self._session.get(url, params=query) as response:
+                if response.status != _OK:
+                    raise errors.Unavailable(
+                        f"{address}: status {response.status}"
+                    )
                 body = await body_buffers.read(
                     response.content, LISTING_MAX_BYTES
                 )
--- a/agatedock/ui/common.py
+++ b/agatedock/ui/common.py
@@ -16,6 +16,8 @@
 import aiohttp
 import cappa
 
+from agatedock import body_buffers
+from agatedock import connections
 from agatedock import errors
 
 EXIT_FAILED = 1
@@ -24,6 +26,8 @@
 EXIT_UNAVAILABLE = 4
 EXIT_UNKNOWN = 5
 CALL_TIMEOUT_S = 5.0
+# Many times the state dump of a router.
+ANSWER_MAX_BYTES = 64 * 1024 * 1024
 _BAD_REQUEST = 400
 
 T = TypeVar("T")
@@ -113,15 +117,16 @@
     method = "GET" if data is None else "POST"
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            connections.make_session(timeout=timeout) as session,
             session.request(method, url, data=data) as response,
         ):
+            body = await body_buffers.read(response.content, ANSWER_MAX_BYTES)
             if response.status == _BAD_REQUEST:
-                raise RejectedError(await response.text())
+                raise RejectedError(body.decode(errors="replace"))
             if response.status != 200:
                 raise errors.Unavailable(f"{url}: status {response.status}")
-            return await response.json()
-    except (aiohttp.ClientError, TimeoutError) as error:
+            return json.loads(body)
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
         raise errors.Unavailable(f"{url}: {error!r}") from None
 
 
--- a/agatedock/ui/steward.py
+++ b/agatedock/ui/steward.py
@@ -8,9 +8,9 @@
 import logging
 import signal
 
-import aiohttp
 import cappa
 
+from agatedock import connections
 from agatedock import logs
 from agatedock.native import app
 from agatedock.native import settings
@@ -38,7 +38,7 @@
 async def _run(config: settings.Settings) -> None:
     kv = app.open_key_value(config.platform)
     vms = app.open_vm_list(config.platform)
-    async with aiohttp.ClientSession() as client:
+    async with connections.make_session() as client:
         controller = steward.Steward(config, kv, vms, client)
         task = asyncio.create_task(controller.run())
         logs.event(_log, "started")
--- a/agatedockplug/kvhttp.py
+++ b/agatedockplug/kvhttp.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import aiohttp
 
 from agatedock import body_buffers
+from agatedock import connections
 from agatedock import errors
 from agatedock import external
 
 _CALL_TIMEOUT_S = 2.0
 _BODY_MAX_BYTES = 16 * 1024 * 1024
+_VERSION_PATTERN = re.compile(r"[0-9]{1,18}", re.ASCII)
 
 
 @external.key_value_clients.register("http")
@@ -33,7 +36,8 @@
             return None
         if status != 200:
             raise errors.Unavailable(f"get {key}: status {status}")
-        return external.Entry(key, body, int(headers["X-Version"]))
+        version = _parse_version(headers.get("X-Version", ""))
+        return external.Entry(key, body, version)
 
     async def put(
         self, key: str, value: bytes, expected_version: int, ttl_ms: int = 0
@@ -59,7 +63,7 @@
             raise errors.Conflict(key)
         if status != 200:
             raise errors.Unavailable(f"put {key}: status {status}")
-        return int(body)
+        return _parse_version(body.decode("latin-1"))
 
     async def list_keys(self, prefix: str) -> list[str]:
         """Returns the keys with the given prefix in the service's order.
@@ -70,7 +74,7 @@
         status, body, _ = await self._call("GET", "/kv", {"prefix": prefix})
         if status != 200:
             raise errors.Unavailable(f"list {prefix}: status {status}")
-        return body.decode().split("\n") if body else []
+        return _decode_keys(body)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -85,7 +89,7 @@
         data: bytes | None = None,
     ) -> tuple[int, bytes, Any]:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = connections.make_session()
         timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
         try:
             async with self._session.request(
@@ -101,3 +105,27 @@
                 return response.status, body, response.headers
         except (TimeoutError, aiohttp.ClientError) as error:
             raise errors.Unavailable(f"{method} {path}: {error!r}") from error
+
+
+def _parse_version(text: str) -> int:
+    """Returns the version of an entry.
+
+    Raises:
+      errors.Unavailable: It is not a number.
+    """
+    if _VERSION_PATTERN.fullmatch(text) is None:
+        raise errors.Unavailable(f"invalid version {text!r}")
+    return int(text)
+
+
+def _decode_keys(body: bytes) -> list[str]:
+    """Returns the keys of a list, one a line.
+
+    Raises:
+      errors.Unavailable: They are no text.
+    """
+    try:
+        text = body.decode()
+    except UnicodeDecodeError as error:
+        raise errors.Unavailable(f"invalid keys: {error}") from error
+    return text.split("\n") if text else []
--- a/agatedockplug/vmhttp.py
+++ b/agatedockplug/vmhttp.py
@@ -9,6 +9,7 @@
 import pydantic
 
 from agatedock import body_buffers
+from agatedock import connections
 from agatedock import errors
 from agatedock import external
 from agatedock import logs
@@ -56,7 +57,7 @@
           errors.Unavailable: The call failed or its response is invalid.
         """
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = connections.make_session()
         timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
         headers = {"If-None-Match": self._etag}
         try:
--- a/test/test_malformed_responses.py
+++ b/test/test_malformed_responses.py
@@ -9,10 +9,16 @@
 import aiohttp
 import msgspec
 
+from agatedock import connections
 from agatedock import errors
+from agatedock import external
+from agatedock.orders import steward
 from agatedock.peers import relay
 from agatedock.peers import snapshots
+from agatedock.ui import common
 from agatedock_platform import store as store_client
+from agatedockplug import kvhttp
+from agatedockplug import vmhttp
 from test import malformed_responses
 from test import platform_helper
 
@@ -174,3 +180,101 @@
         await self.check(
             lambda: peer.fetch_delta(self.address, position), content
         )
+
+    async def test_key_value_service(self):
+        client = kvhttp.HttpKeyValue(f"http://{self.address}")
+        self.addAsyncCleanup(client.close)
+        content = malformed_responses.Content(b"X-Version: 7", b"7")
+        await self.check(lambda: client.get("a"), content)
+        await self.check(lambda: client.put("a", b"b", 6), content)
+        await self.check(lambda: client.list_keys("a"), content)
+
+    async def test_vm_list(self):
+        client = vmhttp.HttpVmList(f"http://{self.address}/vms")
+        self.addAsyncCleanup(client.close)
+        content = malformed_responses.Content(b'ETag: "7"', b"[]")
+        await self.check(client.read, content)
+
+    async def test_states_of_engines(self):
+        session = connections.make_session()
+        self.addAsyncCleanup(session.close)
+        host, _, port = self.address.rpartition(":")
+        vm = external.Vm(
+            name="engine-1",
+            role=external.VmRole.UPSTREAM,
+            host=host,
+            port=int(port),
+            failure_domain="a",
+        )
+
+        async def read() -> None:
+            timeout = aiohttp.ClientTimeout(total=5)
+            state = await steward.read_state(session, vm, timeout)
+            if state is None:
+                raise errors.Unavailable("no state")
+
+        content = malformed_responses.Content(b"X-Even: 1", b'{"version": "v"}')
+        await self.check(read, content)
+
+    async def test_operators(self):
+        content = malformed_responses.Content(
+            b"Content-Type: application/json", b'{"revision": 7}'
+        )
+        await self.check(
+            lambda: common.fetch_url(f"http://{self.address}/config"), content
+        )
+
+
+class ValueTest(AnswerCase):
+    """Answers within the grammar that do not say what they should."""
+
+    def set_answer(self, body: bytes, status: bytes = b"200 OK", **fields):
+        """Sets the answer; field names have `_` in place of `-`."""
+        lines = [
+            f"{name.replace('_', '-')}: {value}".encode()
+            for name, value in fields.items()
+        ]
+        length = b"Content-Length: %d" % len(body)
+        head = malformed_responses.join_head(
+            b"HTTP/1.1 " + status, *lines, length
+        )
+        self.answer = head + body
+
+    async def test_versions_that_are_no_numbers(self):
+        client = kvhttp.HttpKeyValue(f"http://{self.address}")
+        self.addAsyncCleanup(client.close)
+        for value in ("", "x", "-1", "+1", "1.0", "1 2", "\u0661", "9" * 30):
+            with self.subTest(value=value):
+                self.set_answer(b"data", X_Version=value)
+                with self.assertRaises(errors.Unavailable):
+                    await client.get("a")
+                self.set_answer(value.encode())
+                with self.assertRaises(errors.Unavailable):
+                    await client.put("a", b"b", 6)
+        self.set_answer(b"data")
+        with self.assertRaises(errors.Unavailable):
+            await client.get("a")
+
+    async def test_keys_that_are_no_text(self):
+        client = kvhttp.HttpKeyValue(f"http://{self.address}")
+        self.addAsyncCleanup(client.close)
+        self.set_answer(b"a\n\xff\xfe")
+        with self.assertRaises(errors.Unavailable):
+            await client.list_keys("a")
+
+    async def test_error_of_a_peer_is_no_listing(self):
+        peer = relay.ListingClient()
+        self.addAsyncCleanup(peer.close)
+        position = relay.ListingRequest(snapshots.EMPTY_POSITION, 0)
+        delta = snapshots.Listing().make_delta(snapshots.EMPTY_POSITION, 0.0)
+        body = msgspec.msgpack.encode(delta)
+        for status in (b"500 Error", b"404 Not Found", b"201 Created"):
+            with self.subTest(status=status):
+                self.set_answer(body, status)
+                with self.assertRaises(errors.Unavailable):
+                    await peer.fetch_delta(self.address, position)
+
+    async def test_dump_that_is_no_json(self):
+        self.set_answer(b"{", Content_Type="application/json")
+        with self.assertRaises(errors.Unavailable):
+            await common.fetch_url(f"http://{self.address}/dump")
