Move the open connections of clients into a module of their own

Cause: client_connections.py had two jobs in 369 lines, one connection and the choice of who makes room among all of them, and both are about to grow.

Change: open_connections.py holds the latter; nothing behaves otherwise.

--- a/agatedock/serving/client_connections.py
+++ b/agatedock/serving/client_connections.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
-import enum
-import logging
 from typing import Any
 
 import aiohttp
@@ -13,11 +10,9 @@
 
 from agatedock import clock
 from agatedock import connections
-from agatedock import logs
 from agatedock.decisions import client_limits
 from agatedock.domain import configuration
-
-_log = logging.getLogger(__name__)
+from agatedock.serving import open_connections
 
 # Bytes of a body that one connection holds until they are used; reading stops
 # at twice as many.
@@ -39,108 +34,6 @@
 )
 
 
-class Reason(enum.StrEnum):
-    """Why a connection of a client was closed."""
-
-    # A head, or empty lines before one.
-    HEAD_TOO_LARGE = "head_too_large"
-    # All heads that are arriving exceed their limit.
-    HEADS_FULL = "heads_full"
-    # Lengths, extensions or trailers of pieces with little data.
-    BODY_OVERHEAD = "body_overhead"
-    # There are more connections than the process may have.
-    CONNECTIONS_FULL = "connections_full"
-
-
-class ClientConnections:
-    """The open connections of clients.
-
-    Attributes:
-      heads_bytes: Bytes of the heads that are arriving.
-      counts: Number of connections closed, by reason.
-    """
-
-    def __init__(self, limits: client_limits.ClientLimits) -> None:
-        """Starts without connections.
-
-        Args:
-          limits: What all clients together may make the process hold.
-        """
-        self._limits = limits
-        self._open: set[ClientConnection] = set()
-        # Those that got a response and wait for another request.
-        self._idle: set[ClientConnection] = set()
-        self.heads_bytes = 0
-        self.counts: collections.Counter[Reason] = collections.Counter()
-
-    def add(self, connection: ClientConnection) -> None:
-        """Adds a connection; another one is closed if there are too many."""
-        closed = None
-        if len(self._open) >= self._limits.connections:
-            closed = client_limits.choose_connection(self._open) or connection
-        self._open.add(connection)
-        if closed is not None:
-            closed.cut(Reason.CONNECTIONS_FULL)
-
-    def remove(self, connection: ClientConnection) -> None:
-        """Removes a connection that was closed."""
-        self.resize_head(connection, 0)
-        self._open.discard(connection)
-        self._idle.discard(connection)
-
-    def resize_head(
-        self, connection: ClientConnection, size_bytes: int
-    ) -> None:
-        """Sets the bytes of an arriving head, and drops others if it has to."""
-        self.heads_bytes += size_bytes - connection.size_bytes
-        connection.size_bytes = size_bytes
-        while self.heads_bytes > self._limits.heads_bytes:
-            arriving = [item for item in self._open if item.size_bytes]
-            now = clock.read_steady_s()
-            dropped = client_limits.choose_dropped(arriving, now)
-            assert dropped is not None
-            dropped.cut(Reason.HEADS_FULL)
-
-    def set_idle(self, connection: ClientConnection, is_idle: bool) -> None:
-        """Records whether a connection waits for another request."""
-        if is_idle:
-            self._idle.add(connection)
-        else:
-            self._idle.discard(connection)
-
-    def is_idle(self, connection: ClientConnection) -> bool:
-        """Returns whether a connection waits for another request."""
-        return connection in self._idle
-
-    def list_open(self) -> list[web.RequestHandler]:
-        """Returns all open connections."""
-        return list(self._open)
-
-    def list_idle(self) -> list[web.RequestHandler]:
-        """Returns the connections that wait for another request."""
-        return list(self._idle)
-
-    def record_cut(
-        self, reason: Reason, size_bytes: int, elapsed_s: float
-    ) -> None:
-        """Records that a connection is closed.
-
-        Args:
-          reason: Why.
-          size_bytes: Bytes received since its last request.
-          elapsed_s: Time since it was opened.
-        """
-        self.counts[reason] += 1
-        logs.event(
-            _log,
-            "client_cut",
-            logging.WARNING,
-            reason=reason,
-            bytes=size_bytes,
-            seconds=round(elapsed_s, 1),
-        )
-
-
 class ClientConnection(web.RequestHandler):
     """Connection of a client.
 
@@ -175,7 +68,7 @@
     def __init__(
         self,
         server: Server,
-        clients: ClientConnections,
+        clients: open_connections.OpenConnections,
         limits: configuration.Limits,
         **options: Any,
     ) -> None:
@@ -261,7 +154,9 @@
             client_limits.HEAD_LINES_FACTOR * self._limits.header_bytes
         )
         if self.size_bytes > head_max_bytes:
-            self.cut(Reason.HEAD_TOO_LARGE, _HEAD_TOO_LARGE_RESPONSE)
+            self.cut(
+                open_connections.Reason.HEAD_TOO_LARGE, _HEAD_TOO_LARGE_RESPONSE
+            )
 
     def _count_body(self, size_bytes: int) -> None:
         """Counts bytes of a body, with what surrounds its data."""
@@ -270,7 +165,7 @@
         if not self._force_close and client_limits.exceeds_overhead(
             self._received_bytes, self._body.total_bytes
         ):
-            self.cut(Reason.BODY_OVERHEAD)
+            self.cut(open_connections.Reason.BODY_OVERHEAD)
 
     def _reads_rest_of_body(self) -> bool:
         """Returns whether the last body goes on, also after its response."""
@@ -298,7 +193,9 @@
             self, self.transport is not None and not self._unanswered
         )
 
-    def cut(self, reason: Reason, response: bytes = b"") -> None:
+    def cut(
+        self, reason: open_connections.Reason, response: bytes = b""
+    ) -> None:
         """Closes the connection.
 
         Args:
@@ -350,7 +247,7 @@
     def __init__(
         self,
         handler: Any,
-        clients: ClientConnections,
+        clients: open_connections.OpenConnections,
         limits: configuration.Limits,
         **options: Any,
     ) -> None:
--- a/agatedock/serving/frontend.py
+++ b/agatedock/serving/frontend.py
@@ -15,6 +15,7 @@
 from agatedock.domain import configuration
 from agatedock.serving import client_connections
 from agatedock.serving import http_downstream
+from agatedock.serving import open_connections
 
 _log = logging.getLogger(__name__)
 
@@ -59,7 +60,7 @@
         self._http_handler = http_handler
         self._limits = DEFAULT_LIMITS
         self.bodies = body_buffers.BodyBuffers(limits.bodies_bytes)
-        self.clients = client_connections.ClientConnections(limits)
+        self.clients = open_connections.OpenConnections(limits)
         self._servers: list[web.Server] = []
         self._listener: asyncio.Server | None = None
         self._close_after_response = False
@@ -97,7 +98,7 @@
         for connection in self.list_idle_connections():
             connection.force_close()
 
-    def list_idle_connections(self) -> list[web.RequestHandler]:
+    def list_idle_connections(self) -> list[open_connections.Connection]:
         """Returns the idle connections: those that wait for another request."""
         return self.clients.list_idle()
 
