Count heads from their first byte to the end of the response

Cause: a head was counted only until it was complete, then its parsed form, several times its bytes, was held uncounted: while its body was awaited, while up to 32 requests of a connection were queued, while it was served, and while a refused body was read on. A head that was complete in its last block was never counted, so it could exceed the limit. Trailers were only bounded as a multiple of the data. A cut connection kept what was parsed until the next turn of the loop, in which hundreds of others were read and cut.

Change: HeldHeads estimates the memory of all heads of a connection, trailers too. All together they may take a sixth of the memory beyond a resting router's (32 MiB if unknown; before, 1/32 of it or 8 MiB of bytes). A complete head over the limit gets 431. Two requests are queued at most. A cut frees what was parsed. Who makes room is chosen from the 64 connections without progress for the longest time, not from all; requests that are served make none.

--- a/agatedock/decisions/client_limits.py
+++ b/agatedock/decisions/client_limits.py
@@ -27,9 +27,15 @@
 # Part of the remaining memory that bodies may take: they are copied when they
 # are complete, and the allocator does not return all that it was given.
 BODIES_FRACTION = 1 / 4
-# Part of a VM's memory for the heads that are arriving. A head takes several
-# times its bytes once it is parsed.
-HEADS_FRACTION = 1 / 32
+# Part of the remaining memory for heads, from their first byte to the end of
+# the response.
+HEADS_FRACTION = 1 / 6
+HEADS_MIN_BYTES = 4 * _MIB
+# Memory that a parsed head takes: for itself, for each line, and as a multiple
+# of its bytes. A text may take four bytes for each character.
+HEAD_BYTES = 2 * 1024
+HEAD_LINE_BYTES = 320
+HEAD_BYTES_FACTOR = 6
 # Part of the descriptors that clients may use; the others are for replicas,
 # peers and files.
 CONNECTIONS_FRACTION = 1 / 2
@@ -52,12 +58,12 @@
 
     Attributes:
       connections: Connections of clients.
-      heads_bytes: Bytes of the heads that are arriving.
+      heads_bytes: Memory of the heads that arrive or are in use.
       bodies_bytes: Bytes of the bodies that arrive or are in use.
     """
 
     connections: int = CONNECTIONS_MAX
-    heads_bytes: int = 8 * _MIB
+    heads_bytes: int = 32 * _MIB
     bodies_bytes: int = BODIES_MAX_BYTES
 
 
@@ -74,7 +80,9 @@
         bodies_bytes = int(remaining_bytes * BODIES_FRACTION)
         limits = dataclasses.replace(
             limits,
-            heads_bytes=int(memory_bytes * HEADS_FRACTION),
+            heads_bytes=max(
+                HEADS_MIN_BYTES, int(remaining_bytes * HEADS_FRACTION)
+            ),
             bodies_bytes=min(
                 BODIES_MAX_BYTES, max(BODIES_MIN_BYTES, bodies_bytes)
             ),
@@ -87,6 +95,16 @@
     return limits
 
 
+def estimate_head_bytes(size_bytes: int, lines: int) -> int:
+    """Returns the memory that a head takes.
+
+    Args:
+      size_bytes: Its bytes.
+      lines: Number of its lines.
+    """
+    return HEAD_BYTES + lines * HEAD_LINE_BYTES + size_bytes * HEAD_BYTES_FACTOR
+
+
 def exceeds_overhead(received_bytes: int, data_bytes: int) -> bool:
     """Returns whether a body has too many bytes that are not its data.
 
@@ -110,23 +128,19 @@
 
 
 class Client(Protocol):
-    """A connection, or a body that is arriving.
+    """A connection, or a body that is arriving."""
 
-    Attributes:
-      progress_at: When its last bytes arrived, in seconds.
-      size_bytes: Bytes that are held for it.
-    """
+    @property
+    def progress_at(self) -> float:
+        """Returns when its last bytes arrived, in seconds."""
 
-    progress_at: float
-    size_bytes: int
+    @property
+    def size_bytes(self) -> int:
+        """Returns the bytes that are held for it."""
 
 
 class Connection(Client, Protocol):
-    """A connection of a client.
-
-    Attributes:
-      phase: What it waits for.
-    """
+    """A connection of a client."""
 
     @property
     def phase(self) -> Phase:
@@ -156,6 +170,17 @@
     return now - client.progress_at > STALLED_S
 
 
+def is_spared(client: Client, total_bytes: int, count: int) -> bool:
+    """Returns whether a client holds too little to make room for others.
+
+    Args:
+      client: The client.
+      total_bytes: Bytes that are held for it and the others.
+      count: Their number.
+    """
+    return client.size_bytes <= SPARED_FRACTION * total_bytes / max(1, count)
+
+
 def choose_dropped(
     candidates: Collection[_ClientT], now: float
 ) -> _ClientT | None:
@@ -170,9 +195,13 @@
       now: Present time in seconds.
     """
     total_bytes = sum(item.size_bytes for item in candidates)
-    spared_bytes = SPARED_FRACTION * total_bytes / max(1, len(candidates))
+    count = len(candidates)
     return max(
-        (item for item in candidates if item.size_bytes > spared_bytes),
+        (
+            item
+            for item in candidates
+            if not is_spared(item, total_bytes, count)
+        ),
         key=lambda item: (is_stalled(item, now), item.size_bytes),
         default=None,
     )
--- a/agatedock/serving/client_connections.py
+++ b/agatedock/serving/client_connections.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import Any
 
 import aiohttp
+from aiohttp import http
 from aiohttp import web
+from aiohttp import web_protocol
 
 from agatedock import clock
 from agatedock import connections
 from agatedock.decisions import client_limits
 from agatedock.domain import configuration
+from agatedock.serving import held_heads
 from agatedock.serving import open_connections
 
 # Bytes of a body that one connection holds until they are used; reading stops
@@ -22,8 +26,12 @@
 # Bytes that a connection with an arriving body may hold at most, beside those
 # that were taken from it.
 PENDING_MAX_BYTES = 2 * BUFFER_BYTES + BLOCK_BYTES
+# Requests of one connection that are parsed while another one is served.
+QUEUED_REQUESTS_MAX = 2
 # Time for which one connection is read in a turn of the event loop.
 TURN_MAX_S = 0.001
+# The length of the last piece of a body.
+_LAST_PIECE_PATTERN = re.compile(rb"\r\n0+[ \t]*[;\r]")
 _HEAD_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
@@ -46,23 +54,20 @@
 
     Attributes:
       progress_at: When its last bytes arrived, in seconds.
-      size_bytes: Bytes of a head that is arriving.
-      reads_body: Whether a request waits for the rest of its body.
     """
 
     __slots__ = (
         "_body",
         "_clients",
+        "_data_bytes",
         "_had_request",
         "_head_started",
+        "_heads",
         "_limits",
         "_opened_at",
         "_received_bytes",
         "_timer",
-        "_unanswered",
         "progress_at",
-        "reads_body",
-        "size_bytes",
     )
 
     def __init__(
@@ -73,30 +78,55 @@
         **options: Any,
     ) -> None:
         super().__init__(server, **options)
+        self._limit_queue()
         self._clients = clients
         self._limits = limits
         self._timer: asyncio.TimerHandle | None = None
         # Whether a part of the next request head has arrived.
         self._head_started = False
         self._had_request = False
-        # Requests whose response is not complete. The library knows of one only
-        # once its task has begun, and its body may arrive before.
-        self._unanswered = 0
-        # Body of the last request, and the bytes received since its head.
+        # The library knows of a request only once its task has begun, and its
+        # body may arrive before.
+        self._heads = held_heads.HeldHeads()
+        # Body of the last request, the bytes received since its head, and those
+        # of them that are its data.
         self._body: aiohttp.StreamReader | None = None
         self._received_bytes = 0
+        self._data_bytes = 0
         self._opened_at = self.progress_at = clock.read_steady_s()
-        self.size_bytes = 0
-        self.reads_body = False
+
+    def _limit_queue(self) -> None:
+        """Lets few requests be parsed ahead.
+
+        The library has no option for it.
+        """
+        self._max_msg_queue_size = QUEUED_REQUESTS_MAX
+        self._msg_queue_resume_size = QUEUED_REQUESTS_MAX // 2
+        self._parser = http.HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=web.RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=QUEUED_REQUESTS_MAX,
+        )
+
+    @property
+    def size_bytes(self) -> int:
+        """Returns the memory of its heads."""
+        return self._heads.size_bytes
 
     @property
     def phase(self) -> client_limits.Phase:
         """Returns what the connection waits for."""
-        if self.reads_body:
+        if self._reads_rest_of_body():
             return client_limits.Phase.ARRIVING
-        if self._unanswered:
+        if self._heads.has_unanswered:
             return client_limits.Phase.SERVED
-        if self._had_request and not self.size_bytes:
+        if self._had_request and not self._heads.arriving_bytes:
             return client_limits.Phase.IDLE
         return client_limits.Phase.ARRIVING
 
@@ -109,21 +139,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses a block, or what is left of one after a pause."""
-        self._clients.set_idle(self, False)
         began_at = clock.read_steady_s()
         count_before = self._request_count
         was_in_body = self._reads_rest_of_body()
         super().data_received(data)
         request_count = self._request_count - count_before
         if request_count:
-            self._begin_requests(request_count)
+            self._begin_requests(request_count, data)
         elif was_in_body:
-            self._count_body(len(data))
+            self._count_body(data)
         else:
-            self._count_head(len(data))
+            self._count_head(data)
         if data:
             self.progress_at = began_at
             self._update_timer()
+        self._clients.update(self)
         # After a block that is not full nothing more waits to be read.
         is_full = len(data) >= BLOCK_BYTES
         if is_full and clock.read_steady_s() - began_at > TURN_MAX_S:
@@ -131,42 +161,85 @@
 
     def _update_timer(self) -> None:
         """Starts the timer of a head, or stops it if a request was read."""
-        if self._unanswered or self._reads_rest_of_body():
+        if self._heads.has_unanswered or self._reads_rest_of_body():
             self._stop_timer()
         elif self._timer is None or not self._head_started:
             self._start_head_timer(self._limits.header_timeout_s)
         self._head_started = True
 
-    def _begin_requests(self, count: int) -> None:
-        """Records that the heads of some requests are complete."""
+    def _begin_requests(self, count: int, data: bytes) -> None:
+        """Records that the heads of some requests are complete.
+
+        Args:
+          count: Number of the requests, which are the last ones of the queue.
+          data: The block in which they ended.
+        """
+        queued = list(self._messages)[-count:]
+        self._body = queued[-1][1] if queued else None
         self._had_request = True
-        self._unanswered += count
         self._received_bytes = 0
-        self._clients.resize_head(self, 0)
-        self._body = self._messages[-1][1] if self._messages else None
+        self._data_bytes = 0
+        messages = [message for message, _ in queued]
+        if held_heads.measure_largest(messages) > self._head_max_bytes:
+            # It came in few blocks, and was complete before it was counted.
+            self.cut(
+                open_connections.Reason.HEAD_TOO_LARGE, _HEAD_TOO_LARGE_RESPONSE
+            )
+            return
+        self._heads.begin_requests(messages)
+        self._count_rest(data)
 
-    def _count_head(self, size_bytes: int) -> None:
+    def _count_head(self, data: bytes) -> None:
         """Counts bytes of a head, or empty lines before it."""
         if self._force_close:
             return
-        self._clients.resize_head(self, self.size_bytes + size_bytes)
-        head_max_bytes = (
-            client_limits.HEAD_LINES_FACTOR * self._limits.header_bytes
-        )
-        if self.size_bytes > head_max_bytes:
+        self._heads.add_lines(data)
+        if self._heads.arriving_bytes > self._head_max_bytes:
             self.cut(
                 open_connections.Reason.HEAD_TOO_LARGE, _HEAD_TOO_LARGE_RESPONSE
             )
 
-    def _count_body(self, size_bytes: int) -> None:
+    @property
+    def _head_max_bytes(self) -> int:
+        """Returns the largest size of a whole head in bytes."""
+        return client_limits.HEAD_LINES_FACTOR * self._limits.header_bytes
+
+    def _count_body(self, data: bytes) -> None:
         """Counts bytes of a body, with what surrounds its data."""
-        self._received_bytes += size_bytes
         assert self._body is not None
-        if not self._force_close and client_limits.exceeds_overhead(
-            self._received_bytes, self._body.total_bytes
+        if self._force_close:
+            return
+        self._received_bytes += len(data)
+        if self._body.total_bytes > self._data_bytes:
+            self._data_bytes = self._body.total_bytes
+            self._count_rest(data)
+        else:
+            # Trailers, or what precedes the data of a piece.
+            self._heads.add_lines(data)
+        if (
+            client_limits.exceeds_overhead(
+                self._received_bytes, self._data_bytes
+            )
+            or self._heads.arriving_bytes > self._head_max_bytes
         ):
             self.cut(open_connections.Reason.BODY_OVERHEAD)
 
+    def _count_rest(self, data: bytes) -> None:
+        """Counts what the library keeps of a block beside heads and data.
+
+        The data of a body may contain what looks like its last piece; then too
+        much is counted until the next block.
+        """
+        if self._buffer_paused:
+            # Requests that are not parsed yet.
+            self._heads.set_lines(data)
+            return
+        match = None
+        if self._reads_rest_of_body():
+            match = _LAST_PIECE_PATTERN.search(data)
+        # Trailers behind the last piece.
+        self._heads.set_lines(data[match.end() :] if match else b"")
+
     def _reads_rest_of_body(self) -> bool:
         """Returns whether the last body goes on, also after its response."""
         return self._body is not None and not self._body.is_eof()
@@ -184,14 +257,16 @@
         """Forgets the connection."""
         self._stop_timer()
         self._clients.remove(self)
+        self._body = None
         super().connection_lost(exc)
 
     def handle_response(self) -> None:
         """Records that a request was answered."""
-        self._unanswered = max(0, self._unanswered - 1)
-        self._clients.set_idle(
-            self, self.transport is not None and not self._unanswered
-        )
+        # The library holds a request until its body has ended as well; the
+        # connection is closed then.
+        if not self._reads_rest_of_body():
+            self._heads.end_request()
+        self._clients.update(self)
 
     def cut(
         self, reason: open_connections.Reason, response: bytes = b""
@@ -206,16 +281,29 @@
         if transport is None:
             return
         elapsed_s = clock.read_steady_s() - self._opened_at
-        size_bytes = max(self._received_bytes, self.size_bytes)
+        size_bytes = max(self._received_bytes, self._heads.arriving_bytes)
         self._clients.record_cut(reason, size_bytes, elapsed_s)
         self._clients.remove(self)
-        if response and not self._unanswered:
+        self._discard_queue()
+        if response and not self._heads.has_unanswered:
             transport.write(response)
             self.force_close()
             return
         self.force_close()
         transport.abort()
 
+    def _discard_queue(self) -> None:
+        """Frees requests that were parsed and are not served yet.
+
+        Many connections may be read, and closed again, before the library is
+        told that one of them is closed; it expects as many requests.
+        """
+        no_request = (web_protocol.ERROR, aiohttp.EMPTY_PAYLOAD)
+        for index in range(len(self._messages)):
+            self._messages[index] = no_request
+        self._parser = None
+        self._body = None
+
     def _start_head_timer(self, timeout_s: float) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
@@ -230,7 +318,7 @@
     def _handle_timeout(self) -> None:
         """Closes the connection; sends a 408 if a head was incomplete."""
         transport = self.transport
-        if transport is None or self._unanswered:
+        if transport is None or self._heads.has_unanswered:
             return
         if self._head_started:
             transport.write(_HEAD_TIMEOUT_RESPONSE)
--- a/agatedock/serving/frontend.py
+++ b/agatedock/serving/frontend.py
@@ -30,6 +30,7 @@
 # How long a connection is still read after an early response. Closing it with
 # unread data would reset it, and the client might lose the response.
 LINGERING_TIME_S = 2.0
+_HEAD_TOO_LARGE = 431
 
 HttpHandler = Callable[
     [web.BaseRequest, http_downstream.HttpDownstream], Awaitable[None]
@@ -131,6 +132,11 @@
     async def _handle(
         self, http_request: web.BaseRequest
     ) -> web.StreamResponse:
+        connection = http_request.protocol
+        assert isinstance(connection, client_connections.ClientConnection)
+        if connection.transport is None:
+            # It was closed when its request was read.
+            return web.Response(status=_HEAD_TOO_LARGE)
         buffer = self.bodies.open()
         client = http_downstream.HttpDownstream(
             http_request, lambda: self._close_after_response, buffer
@@ -149,7 +155,5 @@
                 client.abort()
         finally:
             buffer.close()
-        connection = http_request.protocol
-        assert isinstance(connection, client_connections.ClientConnection)
         connection.handle_response()
         return client.response or web.Response(status=502)
--- a/agatedock/serving/http_downstream.py
+++ b/agatedock/serving/http_downstream.py
@@ -52,7 +52,12 @@
             http_request.writer.output_size = 0
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._read_arriving(limit_bytes)
+                return await body_buffers.read_buffered(
+                    http_request.content.readany,
+                    limit_bytes,
+                    self._buffer,
+                    client_connections.PENDING_MAX_BYTES,
+                )
         except body_buffers.BodyTooLargeError as error:
             raise request_errors.RequestError(
                 request_errors.ErrorCode.TOO_LARGE
@@ -72,21 +77,6 @@
                 request_errors.ErrorCode.BAD_REQUEST
             ) from error
 
-    async def _read_arriving(self, limit_bytes: int) -> bytes:
-        """Returns the complete body; its connection may have to make room."""
-        connection = self._http_request.protocol
-        assert isinstance(connection, client_connections.ClientConnection)
-        connection.reads_body = True
-        try:
-            return await body_buffers.read_buffered(
-                self._http_request.content.readany,
-                limit_bytes,
-                self._buffer,
-                client_connections.PENDING_MAX_BYTES,
-            )
-        finally:
-            connection.reads_body = False
-
     async def send_response(
         self, status: int, headers: list[tuple[str, str]], body: bytes
     ) -> None:
--- a/agatedock/serving/open_connections.py
+++ b/agatedock/serving/open_connections.py
@@ -4,6 +4,7 @@
 
 import collections
 import enum
+import itertools
 import logging
 from typing import Protocol
 
@@ -13,13 +14,17 @@
 
 _log = logging.getLogger(__name__)
 
+# Connections of which one is chosen to make room: those without progress for
+# the longest time.
+CANDIDATES_MAX = 64
+
 
 class Reason(enum.StrEnum):
     """Why a connection of a client was closed."""
 
     # A head, or empty lines before one.
     HEAD_TOO_LARGE = "head_too_large"
-    # All heads that are arriving exceed their limit.
+    # All heads that arrive or are in use exceed their limit.
     HEADS_FULL = "heads_full"
     # Lengths, extensions or trailers of pieces with little data.
     BODY_OVERHEAD = "body_overhead"
@@ -41,7 +46,7 @@
     """The open connections of clients.
 
     Attributes:
-      heads_bytes: Bytes of the heads that are arriving.
+      heads_bytes: Memory of the heads that arrive or are in use.
       counts: Number of connections closed, by reason.
     """
 
@@ -52,56 +57,83 @@
           limits: What all clients together may make the process hold.
         """
         self._limits = limits
-        self._open: set[Connection] = set()
-        # Those that got a response and wait for another request.
-        self._idle: set[Connection] = set()
+        # By phase, in the order of their last progress.
+        self._by_phase: dict[client_limits.Phase, dict[Connection, None]] = {
+            phase: {} for phase in client_limits.Phase
+        }
+        # Memory of the heads of each connection.
+        self._head_sizes: dict[Connection, int] = {}
         self.heads_bytes = 0
         self.counts: collections.Counter[Reason] = collections.Counter()
 
     def add(self, connection: Connection) -> None:
         """Adds a connection; another one is closed if there are too many."""
         closed = None
-        if len(self._open) >= self._limits.connections:
-            closed = client_limits.choose_connection(self._open) or connection
-        self._open.add(connection)
+        if len(self._head_sizes) >= self._limits.connections:
+            candidates = self._list_candidates(
+                client_limits.Phase.ARRIVING
+            ) + self._list_candidates(client_limits.Phase.IDLE)
+            closed = client_limits.choose_connection(candidates) or connection
+        self._head_sizes[connection] = 0
+        self._by_phase[connection.phase][connection] = None
         if closed is not None:
             closed.cut(Reason.CONNECTIONS_FULL)
 
     def remove(self, connection: Connection) -> None:
         """Removes a connection that was closed."""
-        self.resize_head(connection, 0)
-        self._open.discard(connection)
-        self._idle.discard(connection)
-
-    def resize_head(self, connection: Connection, size_bytes: int) -> None:
-        """Sets the bytes of an arriving head, and drops others if it has to."""
-        self.heads_bytes += size_bytes - connection.size_bytes
-        connection.size_bytes = size_bytes
+        self.heads_bytes -= self._head_sizes.pop(connection, 0)
+        for connections in self._by_phase.values():
+            connections.pop(connection, None)
+
+    def update(self, connection: Connection) -> None:
+        """Records progress; closes others if all heads exceed their limit.
+
+        Connections whose request is being served are not closed for others.
+        """
+        if connection not in self._head_sizes:
+            return
+        for connections in self._by_phase.values():
+            connections.pop(connection, None)
+        self._by_phase[connection.phase][connection] = None
+        size_bytes = connection.size_bytes
+        self.heads_bytes += size_bytes - self._head_sizes[connection]
+        self._head_sizes[connection] = size_bytes
         while self.heads_bytes > self._limits.heads_bytes:
-            arriving = [item for item in self._open if item.size_bytes]
-            now = clock.read_steady_s()
-            dropped = client_limits.choose_dropped(arriving, now)
-            assert dropped is not None
+            dropped = self._choose_dropped(connection)
+            if dropped is None:
+                return
             dropped.cut(Reason.HEADS_FULL)
 
-    def set_idle(self, connection: Connection, is_idle: bool) -> None:
-        """Records whether a connection waits for another request."""
-        if is_idle:
-            self._idle.add(connection)
-        else:
-            self._idle.discard(connection)
+    def _choose_dropped(self, connection: Connection) -> Connection | None:
+        """Returns whose heads make room for those of a connection.
+
+        Another one whose request is still arriving, else the connection itself
+        unless it holds little.
+        """
+        arriving = self._list_candidates(client_limits.Phase.ARRIVING)
+        dropped = client_limits.choose_dropped(arriving, clock.read_steady_s())
+        if dropped is not None:
+            return dropped
+        count = len(self._head_sizes)
+        if client_limits.is_spared(connection, self.heads_bytes, count):
+            return None
+        return connection
+
+    def _list_candidates(self, phase: client_limits.Phase) -> list[Connection]:
+        connections = self._by_phase[phase]
+        return list(itertools.islice(connections, CANDIDATES_MAX))
 
     def is_idle(self, connection: Connection) -> bool:
         """Returns whether a connection waits for another request."""
-        return connection in self._idle
+        return connection in self._by_phase[client_limits.Phase.IDLE]
 
     def list_open(self) -> list[Connection]:
         """Returns all open connections."""
-        return list(self._open)
+        return list(self._head_sizes)
 
     def list_idle(self) -> list[Connection]:
         """Returns the connections that wait for another request."""
-        return list(self._idle)
+        return list(self._by_phase[client_limits.Phase.IDLE])
 
     def record_cut(
         self, reason: Reason, size_bytes: int, elapsed_s: float
--- a/test/crowd.py
+++ b/test/crowd.py
@@ -97,6 +97,7 @@
         and not read.
       descriptors_max: Descriptors that it may open.
       head_timeout_ms: Time that a head may take.
+      slots: Requests that each replica runs at once.
       frontend: `IP:PORT` for clients.
       probes: `IP:PORT` for readiness probes.
       metrics: `IP:PORT` for metrics and the dump.
@@ -106,6 +107,7 @@
     memory_mb = MEMORY_MB
     descriptors_max = DESCRIPTORS_MAX
     head_timeout_ms = HEAD_TIMEOUT_MS
+    slots = 8
 
     async def asyncSetUp(self) -> None:
         self.store = store.Store()
@@ -115,6 +117,7 @@
             for service in ("llm", "shop")
         ]
         for item in self.replicas:
+            item.slots = self.slots
             await item.start()
             self.store.put(f"servers/{item.name}", item.encode_entry())
         limits = {
--- a/test/test_refused_heads.py
+++ b/test/test_refused_heads.py
@@ -38,5 +38,10 @@
         line = "X-Long: " + "a" * 1000 + "\r\n"
         await self.check_refused(test_crowds.format_head(lines=line * 40), 431)
 
+    async def test_complete_head_over_the_limit(self):
+        line = "X-Long: " + "a" * 1000 + "\r\n"
+        lines = line * 40 + "Content-Length: 0\r\n\r\n"
+        await self.check_refused(test_crowds.format_head(lines=lines), 431)
+
     async def test_head_that_takes_too_long(self):
         await self.check_refused(test_crowds.format_head(), 408)
