Limit what clients make the other listeners hold

Seen: at the listeners for readiness probes, metrics and peers, heads of many lines took a router to 101 MB of the 100 it may use, heads and trailers that stop short to 230 to 906, a line without end to 538, and 512 silent connections each to 1,556 descriptors of 256. At the native API's port for peers and operators heads that stop short took 254 MB of 200.

Cause: only the clients' listener had limits; the others were plain servers of the library, which holds 128 lines of 8 kB and any number of connections.

Change: all listeners serve ClientConnection with OpenConnections of their own. The steward listens nowhere (by reading).

--- a/agatedock/decisions/client_limits.py
+++ b/agatedock/decisions/client_limits.py
@@ -43,6 +43,14 @@
 # peers and files.
 CONNECTIONS_FRACTION = 1 / 2
 CONNECTIONS_MAX = 10_000
+# Parts of the descriptors and of the remaining memory for each listener that is
+# not for clients.
+LISTENER_CONNECTIONS_FRACTION = 1 / 16
+LISTENER_CONNECTIONS_MAX = 1000
+LISTENER_CONNECTIONS_MIN = 8
+LISTENER_REQUESTS_FRACTION = 1 / 64
+LISTENER_REQUESTS_MIN_BYTES = _MIB
+LISTENER_BODIES_BYTES = 8 * _MIB
 # A whole head may be this many times as long as one of its lines.
 HEAD_LINES_FACTOR = 2
 # Bytes beside the data of a body, such as the lengths of its pieces: a fixed
@@ -99,6 +107,31 @@
     return limits
 
 
+def compute_listener_limits(
+    memory_bytes: int, descriptors: int
+) -> ClientLimits:
+    """Returns the limits of a listener for peers, operators or probes.
+
+    Args:
+      memory_bytes: Memory that the process may use; 0 if unknown.
+      descriptors: Descriptors that it may open; 0 if unknown.
+    """
+    remaining_bytes = max(0, memory_bytes - RESTING_BYTES)
+    connections = LISTENER_CONNECTIONS_MAX
+    if descriptors:
+        connections = int(descriptors * LISTENER_CONNECTIONS_FRACTION)
+    return ClientLimits(
+        connections=min(
+            LISTENER_CONNECTIONS_MAX, max(LISTENER_CONNECTIONS_MIN, connections)
+        ),
+        requests_bytes=max(
+            LISTENER_REQUESTS_MIN_BYTES,
+            int(remaining_bytes * LISTENER_REQUESTS_FRACTION),
+        ),
+        bodies_bytes=LISTENER_BODIES_BYTES,
+    )
+
+
 def estimate_head_bytes(size_bytes: int, lines: int) -> int:
     """Returns the memory that a head takes.
 
--- a/agatedock/native/admin.py
+++ b/agatedock/native/admin.py
@@ -38,7 +38,7 @@
         # Set by app.RouterApp, since the router is created after this.
         self.router: routers.Router
 
-    async def handle(self, raw: web.BaseRequest) -> web.Response:
+    async def handle(self, raw: web.BaseRequest, body: bytes) -> web.Response:
         """Returns the response to one request; status 404 for other paths."""
         path = raw.path
         if path == relay.LISTING_PATH:
@@ -58,7 +58,7 @@
             self.router.set_gauges(self._metrics)
             return self._metrics.render(raw.headers.getall("Accept", []))
         if path == CONFIG_PATH and raw.method == "POST":
-            return await self._apply_submitted_configuration(raw)
+            return self._apply_submitted_configuration(body)
         if path == CONFIG_PATH:
             return self._send_configuration()
         return web.Response(status=404)
@@ -78,15 +78,13 @@
             content_type="application/json",
         )
 
-    async def _apply_submitted_configuration(
-        self, raw: web.BaseRequest
-    ) -> web.Response:
+    def _apply_submitted_configuration(self, body: bytes) -> web.Response:
         """Applies a submitted configuration before the next snapshot has it.
 
         Returns status 400 if it is invalid, otherwise the outcome as JSON.
         """
         try:
-            document = documents.decode(await raw.read())
+            document = documents.decode(body)
         except pydantic.ValidationError as error:
             return web.Response(status=400, text=str(error))
         outcome = self._catalog.update_configuration(document, "operator")
--- a/agatedock/native/app.py
+++ b/agatedock/native/app.py
@@ -13,6 +13,7 @@
 from agatedock import external
 from agatedock import logs
 from agatedock import metrics
+from agatedock.decisions import client_limits
 from agatedock.decisions import draining
 from agatedock.decisions import retries
 from agatedock.native import admin
@@ -86,7 +87,9 @@
             limits, self._kv, request_reporter
         )
         self._admin = admin.Admin(self._catalog, recent, process_metrics)
-        self._peer_listener = listener.Listener(self._admin.handle)
+        self._peer_listener = listener.Listener(
+            self._admin.handle, client_limits.compute_listener_limits(0, 0)
+        )
         dependencies = routers.Dependencies(
             shared=state.SharedState(
                 now=clock.read_steady_s,
--- a/agatedock/serving/client_connections.py
+++ b/agatedock/serving/client_connections.py
@@ -26,6 +26,10 @@
 # Bytes that a connection with an arriving body may hold at most, beside those
 # that were taken from it.
 PENDING_MAX_BYTES = 2 * BUFFER_BYTES + BLOCK_BYTES
+HEADERS_MAX = 256
+# How long a connection is still read after an early response. Closing it with
+# unread data would reset it, and the client might lose the response.
+LINGERING_TIME_S = 2.0
 # Requests of one connection that are parsed while another one is served.
 QUEUED_REQUESTS_MAX = 2
 # Time for which one connection is read in a turn of the event loop.
@@ -308,8 +312,14 @@
             transport.write(response)
             self.force_close()
             return
+        self.abort()
+
+    def abort(self) -> None:
+        """Closes the connection at once, without the rest of a response."""
+        transport = self.transport
         self.force_close()
-        transport.abort()
+        if transport is not None:
+            transport.abort()
 
     def _discard_queue(self) -> None:
         """Frees requests that were parsed and are not served yet.
@@ -356,16 +366,31 @@
         handler: Any,
         clients: open_connections.OpenConnections,
         limits: configuration.Limits,
-        **options: Any,
     ) -> None:
+        """Creates a server that does not listen yet.
+
+        Args:
+          handler: Handles the requests.
+          clients: The open connections, also those of other servers.
+          limits: Limits on single requests.
+        """
         super().__init__(handler, handler_cancellation=True)
         self._clients = clients
         self._limits = limits
-        self._options = options
 
     def __call__(self) -> web.RequestHandler:
         """Returns the handler of a new connection."""
-        loop = asyncio.get_running_loop()
         return ClientConnection(
-            self, self._clients, self._limits, loop=loop, **self._options
+            self,
+            self._clients,
+            self._limits,
+            loop=asyncio.get_running_loop(),
+            auto_decompress=False,
+            access_log=None,
+            keepalive_timeout=self._limits.idle_timeout_s,
+            lingering_time=LINGERING_TIME_S,
+            max_line_size=self._limits.header_bytes,
+            max_field_size=self._limits.header_bytes,
+            max_headers=HEADERS_MAX,
+            read_bufsize=BUFFER_BYTES,
         )
--- a/agatedock/serving/frontend.py
+++ b/agatedock/serving/frontend.py
@@ -26,10 +26,6 @@
     header_timeout_s=10.0,
     idle_timeout_s=60.0,
 )
-HEADERS_MAX = 256
-# How long a connection is still read after an early response. Closing it with
-# unread data would reset it, and the client might lose the response.
-LINGERING_TIME_S = 2.0
 _HEAD_TOO_LARGE = 431
 
 HttpHandler = Callable[
@@ -115,19 +111,7 @@
             await server.shutdown(0.1)
 
     def _make_server(self, limits: configuration.Limits) -> web.Server:
-        return client_connections.Server(
-            self._handle,
-            self.clients,
-            limits,
-            auto_decompress=False,
-            access_log=None,
-            keepalive_timeout=limits.idle_timeout_s,
-            lingering_time=LINGERING_TIME_S,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            max_headers=HEADERS_MAX,
-            read_bufsize=client_connections.BUFFER_BYTES,
-        )
+        return client_connections.Server(self._handle, self.clients, limits)
 
     async def _handle(
         self, http_request: web.BaseRequest
--- a/test/test_wide_crowds.py
+++ b/test/test_wide_crowds.py
@@ -116,3 +116,66 @@
         await self.send_crowd(b"", test_crowds.format_head(lines=lines))
         self.replicas[1].work_s = 0.0
         await self.check_process()
+
+
+class OtherListenerCase(crowd.CrowdCase):
+    """Crowds at the listeners that are not for clients."""
+
+    async def send_all(
+        self, head: bytes, unit: bytes, size: int = crowd.CROWD
+    ) -> None:
+        """Lets a crowd of this size send at each of the three listeners."""
+        for address in (self.probes, self.metrics, self.peers):
+            with self.subTest(address=address):
+                await self.send_crowd(head, unit, size, address)
+                await self.check_process()
+
+
+class OtherListenerTest(OtherListenerCase):
+    """Heads and bodies without end, and more connections than allowed."""
+
+    async def test_heads_of_many_lines(self):
+        line = b"X-Long: " + b"a" * 4000 + b"\r\n"
+        await self.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n", line)
+
+    async def test_heads_with_a_line_without_end(self):
+        await self.send_all(b"GET / HTTP/1.1\r\nX-Long: ", b"a")
+
+    async def test_heads_that_stop_short(self):
+        line = b"X-Long: " + b"a" * 8000 + b"\r\n"
+        head = b"GET / HTTP/1.1\r\nHost: a\r\n" + line * 100
+        await self.send_all(head, b"", 2 * crowd.CROWD)
+
+    async def test_empty_lines_without_end(self):
+        await self.send_all(b"", b"\r\n")
+
+    async def test_whole_bodies(self):
+        head = (
+            "POST /listing HTTP/1.1\r\nHost: a\r\n"
+            f"Content-Length: {crowd.BODY_MAX_BYTES}\r\n\r\n"
+        )
+        await self.send_all(head.encode(), b"x" * 4096)
+
+    async def test_bodies_in_pieces(self):
+        head = (
+            b"POST /listing HTTP/1.1\r\nHost: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        await self.send_all(head, b"10\r\n" + b"x" * 0x10 + b"\r\n", 20)
+
+    async def test_trailers_without_end(self):
+        head = (
+            b"POST /listing HTTP/1.1\r\nHost: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
+        )
+        await self.send_all(head, b"X-Long: " + b"a" * 4000 + b"\r\n")
+
+    async def test_many_requests_at_once(self):
+        await self.send_all(b"", b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+
+    async def test_connections_that_send_nothing(self):
+        await self.send_all(b"", b"", 2 * crowd.DESCRIPTORS_MAX)
+
+    async def test_connections_that_wait_for_another_request(self):
+        head = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+        await self.send_all(head, b"", 2 * crowd.DESCRIPTORS_MAX)
