Let the native API's limits follow from its process

Seen: a router with the native API ran out of descriptors under 512 connections at its clients' or its peers' port, silent or with a body that never comes, and an order or a chat beside them got no answer; heads queued on 60 connections took it to 227 MB.

Cause: it had the limits of an unknown VM, 10,000 connections, whatever its process may open.

Change: the limits follow from RLIMIT_NOFILE and from the new setting limits.memory_mb (0, unknown, as before).

--- a/agatedock/native/app.py
+++ b/agatedock/native/app.py
@@ -6,6 +6,7 @@
 import dataclasses
 import logging
 import math
+import resource
 import uuid
 
 from agatedock import clock
@@ -50,6 +51,7 @@
 # Attempts to find a peer port that is free for both TCP and UDP.
 PORT_TRIES = 20
 _MS_PER_S = 1000
+_BYTES_PER_MB = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,9 +89,7 @@
             limits, self._kv, request_reporter
         )
         self._admin = admin.Admin(self._catalog, recent, process_metrics)
-        self._peer_listener = listener.Listener(
-            self._admin.handle, client_limits.compute_listener_limits(0, 0)
-        )
+        self._peer_listener = _make_peer_listener(self._admin, limits)
         dependencies = routers.Dependencies(
             shared=state.SharedState(
                 now=clock.read_steady_s,
@@ -113,6 +113,9 @@
             item_decoder=self._catalog,
             http_handler=self._client_api.serve,
             reporter=request_reporter,
+            client_limits=client_limits.compute_limits(
+                *_read_resources(limits)
+            ),
             count_pending_requests=self._client_api.count_pending_requests,
         )
         self.core = routers.Router(
@@ -211,6 +214,26 @@
     return external.vm_list_clients.get(config.vm_list)(config.vm_list_url)
 
 
+def _make_peer_listener(
+    handler: admin.Admin, limits: settings.Limits
+) -> listener.Listener:
+    return listener.Listener(
+        handler.handle,
+        client_limits.compute_listener_limits(*_read_resources(limits)),
+    )
+
+
+def _read_resources(limits: settings.Limits) -> tuple[int, int]:
+    """Returns the memory in bytes and the descriptors of this process.
+
+    Both are 0 if they are not limited.
+    """
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        descriptors = 0
+    return limits.memory_mb * _BYTES_PER_MB, descriptors
+
+
 def _make_retry_limits(ratio: float, router_count: int) -> retries.BudgetLimits:
     return retries.BudgetLimits(
         ratio, RETRY_SLACK * router_count, RETRY_WINDOW_S
--- a/agatedock/native/settings.py
+++ b/agatedock/native/settings.py
@@ -52,6 +52,7 @@
     chat_timeout_ms: _Milliseconds
     service_timeout_ms: _Milliseconds
     drain_timeout_ms: _Milliseconds
+    memory_mb: Annotated[int, pydantic.Field(ge=0)]
 
 
 class Steward(_Section):
