Log and count answers that become invalid behind their head

Seen: an answer whose chunks or trailers break the grammar was logged as a broken connection, so operators could not tell such a replica from one that crashed.

Cause: the error of the checker was not among those with a reason of their own.

Change: reason invalid_chunks of response_cut and agatedock_responses_cut; the end of such a connection is no sign of a crash, as the router closed it.

Result: test_invalid_answers_are_logged_and_counted found no count before, now one; test_crashing_part passes, 16 tests together.

--- a/agatedock/serving/early_closes.py
+++ b/agatedock/serving/early_closes.py
@@ -21,6 +21,8 @@
     BUFFERS_FULL = "buffers_full"
     INVALID_STREAM = "invalid_stream"
     INVALID_HEAD = "invalid_head"
+    # Chunks or trailers that are not within the grammar.
+    INVALID_CHUNKS = "invalid_chunks"
     # Informational responses without a final one.
     NO_FINAL_HEAD = "no_final_head"
 
--- a/agatedock/serving/response_forwarder.py
+++ b/agatedock/serving/response_forwarder.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from agatedock import body_buffers
+from agatedock import response_syntax
 from agatedock.decisions import retries
 from agatedock.domain import configuration
 from agatedock.domain import requests
@@ -29,6 +30,7 @@
 _CLOSE_REASONS: dict[type[Exception], early_closes.Reason] = {
     body_buffers.BodyTooLargeError: early_closes.Reason.BODY_TOO_LARGE,
     body_buffers.BuffersFullError: early_closes.Reason.BUFFERS_FULL,
+    response_syntax.InvalidResponseError: early_closes.Reason.INVALID_CHUNKS,
     sse.InvalidStreamError: early_closes.Reason.INVALID_STREAM,
 }
 # All errors of reading a body; TimeoutError is an OSError.
--- a/test/test_malformed_responses.py
+++ b/test/test_malformed_responses.py
@@ -98,6 +98,26 @@
         answers = malformed_responses.list_invalid(STREAM)
         await self.assert_failed(platform_helper.CHAT, answers)
 
+    async def test_invalid_answers_are_logged_and_counted(self):
+        """Chunks that arrive behind a sound part of their answer as well."""
+        counts = self.router.core.shared.early_closes.counts
+        head = malformed_responses.join_head(
+            malformed_responses.SOUND_STATUS_LINES[0],
+            PLAIN.lines,
+            b"Transfer-Encoding: chunked",
+        )
+        # More than is read at once.
+        data = b"x" * 3 * connections.BLOCK_BYTES
+        chunk = b"%x\r\n%s\r\n" % (len(data), data)
+        for answer, reason in (
+            (b"HTTP/1.1 000 OK\r\n\r\n", "invalid_head"),
+            (head + chunk + b"oops\r\n", "invalid_chunks"),
+        ):
+            counts.clear()
+            status = await self.call_complete(platform_helper.ORDER, answer)
+            self.assertEqual(status, 502)
+            self.assertEqual(dict(counts), {reason: 1})
+
 
 STREAM_PATHS = (platform_helper.CHAT, platform_helper.DRAFT)
 
