--- a/agatedock/serving/frontend.py
+++ b/agatedock/serving/frontend.py
@@ -26,7 +26,7 @@
     header_timeout_s=10.0,
     idle_timeout_s=60.0,
 )
-_HEAD_TOO_LARGE = 431
+_REQUEST_TIMEOUT = 408
 
 HttpHandler = Callable[
     [web.BaseRequest, http_downstream.HttpDownstream], Awaitable[None]
@@ -119,8 +119,8 @@
         connection = http_request.protocol
         assert isinstance(connection, client_connections.ClientConnection)
         if connection.transport is None:
-            # It was closed when its request was read.
-            return web.Response(status=_HEAD_TOO_LARGE)
+            # It was closed when its request was read; nothing is sent.
+            return web.Response(status=_REQUEST_TIMEOUT)
         buffer = self.bodies.open()
         client = http_downstream.HttpDownstream(
             http_request, lambda: self._close_after_response, buffer
--- a/agatedock/serving/listener.py
+++ b/agatedock/serving/listener.py
@@ -26,6 +26,10 @@
 # A response that its client does not read is given up.
 RESPONSE_TIMEOUT_S = 10.0
 _RETRY_AFTER = {"Retry-After": "1"}
+_BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
+_TOO_LARGE = 413
+_UNAVAILABLE = 503
 
 # Returns the response to a request and its body.
 Handler = Callable[[web.BaseRequest, bytes], Awaitable[web.Response]]
@@ -78,7 +82,7 @@
                 await response.write_eof()
         except TimeoutError:
             connection.abort()
-            response = web.Response(status=408)
+            response = web.Response(status=_REQUEST_TIMEOUT)
         finally:
             buffer.close()
             connection.handle_response()
@@ -103,11 +107,11 @@
                     client_connections.PENDING_MAX_BYTES,
                 )
         except body_buffers.BodyTooLargeError:
-            return web.Response(status=413)
+            return web.Response(status=_TOO_LARGE)
         except body_buffers.BuffersFullError:
-            return web.Response(status=503, headers=_RETRY_AFTER)
+            return web.Response(status=_UNAVAILABLE, headers=_RETRY_AFTER)
         except TimeoutError:
-            return web.Response(status=408)
+            return web.Response(status=_REQUEST_TIMEOUT)
         except (web.RequestPayloadError, aiohttp.ClientError):
-            return web.Response(status=400)
+            return web.Response(status=_BAD_REQUEST)
         return await self._handler(http_request, body)
--- a/test/platform_helper.py
+++ b/test/platform_helper.py
@@ -222,3 +222,34 @@
             for name in names or self.replicas
             for run in self.replicas[name].runs
         ]
+
+
+class AnswerCase(unittest.IsolatedAsyncioTestCase):
+    """A server that answers each request with the same bytes."""
+
+    async def asyncSetUp(self) -> None:
+        self.answer = b""
+        self.server = await asyncio.start_server(
+            self._respond, "127.0.0.1", find_port()
+        )
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def asyncTearDown(self) -> None:
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def _respond(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.answer)
+            await writer.drain()
+            # What is not read yet would reset the connection.
+            async with asyncio.timeout(0.01):
+                await reader.read()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
--- a/test/test_client_limits.py
+++ b/test/test_client_limits.py
@@ -44,6 +44,23 @@
             client_limits.compute_limits(0, 0), client_limits.ClientLimits()
         )
 
+    def test_other_listeners_get_a_small_part(self):
+        limits = client_limits.compute_listener_limits(300 * 10**6, 4100)
+        self.assertEqual(limits.connections, 256)
+        self.assertEqual(limits.bodies_bytes, 8 * MIB)
+        small = client_limits.compute_listener_limits(64 * 10**6, 64)
+        self.assertEqual(small.connections, 8)
+        self.assertEqual(small.requests_bytes, MIB)
+        unknown = client_limits.compute_listener_limits(0, 0)
+        self.assertEqual(unknown.connections, 1000)
+
+    def test_usual_vms_serve_hundreds_of_requests_at_once(self):
+        request_bytes = client_limits.REQUEST_BYTES
+        request_bytes += client_limits.estimate_head_bytes(700, 15)
+        for memory_mb in (200, 300, 552):
+            limits = client_limits.compute_limits(memory_mb * 10**6, 4100)
+            self.assertGreater(limits.requests_bytes, 700 * request_bytes)
+
     def test_pieces_of_one_byte_are_no_overhead(self):
         self.assertFalse(client_limits.exceeds_overhead(6 * MIB, MIB))
         self.assertTrue(client_limits.exceeds_overhead(100 * 1024, 10))
--- a/test/test_cut_heads.py
+++ b/test/test_cut_heads.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import unittest
-
 from agatedock import errors
 from agatedock.peers import relay
 from agatedock.peers import snapshots
@@ -76,34 +73,15 @@
             self.assertEqual(body, whole)
 
 
-class ClientTest(unittest.IsolatedAsyncioTestCase):
+class ClientTest(platform_helper.AnswerCase):
     """The store and a peer that cut their heads short."""
 
-    async def asyncSetUp(self) -> None:
-        self.cut = b""
-        self.server = await asyncio.start_server(
-            self._respond, "127.0.0.1", platform_helper.find_port()
-        )
-        host, port = self.server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    async def asyncTearDown(self) -> None:
-        self.server.close()
-        await self.server.wait_closed()
-
-    async def _respond(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(self.cut)
-        writer.close()
-
     async def test_cut_head_is_no_listing(self):
         store = store_client.StoreClient(self.address)
         peer = relay.ListingClient()
         position = relay.ListingRequest(snapshots.EMPTY_POSITION, 0)
         try:
-            for self.cut in list_cuts(make_head("r1", "application/json")):
+            for self.answer in list_cuts(make_head("r1", "application/json")):
                 with self.assertRaises(errors.Unavailable):
                     await store.fetch_snapshot(1.0)
                 with self.assertRaises(errors.Unavailable):
--- a/test/test_malformed_responses.py
+++ b/test/test_malformed_responses.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Iterable
-import unittest
 
 import aiohttp
 import msgspec
@@ -122,38 +120,7 @@
 STREAM_PATHS = (platform_helper.CHAT, platform_helper.DRAFT)
 
 
-class AnswerCase(unittest.IsolatedAsyncioTestCase):
-    """A server that answers each request with the same bytes."""
-
-    async def asyncSetUp(self) -> None:
-        self.answer = b""
-        self.server = await asyncio.start_server(
-            self._respond, "127.0.0.1", platform_helper.find_port()
-        )
-        host, port = self.server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    async def asyncTearDown(self) -> None:
-        self.server.close()
-        await self.server.wait_closed()
-
-    async def _respond(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(self.answer)
-            await writer.drain()
-            # What is not read yet would reset the connection.
-            async with asyncio.timeout(0.01):
-                await reader.read()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
-
-class ReaderTest(AnswerCase):
+class ReaderTest(platform_helper.AnswerCase):
     """Everything else that reads answers takes none of them."""
 
     async def check(self, read, content: malformed_responses.Content) -> None:
@@ -245,7 +212,7 @@
         )
 
 
-class ValueTest(AnswerCase):
+class ValueTest(platform_helper.AnswerCase):
     """Answers within the grammar that do not say what they should."""
 
     def set_answer(self, body: bytes, status: bytes = b"200 OK", **fields):
